--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Load and experiment tool."""
--- /dev/null
+++ b/demo/__init__.py
@@ -0,0 +1,1 @@
+"""Launcher of the demonstration on one machine."""
--- /dev/null
+++ b/src/heatherpick/_core/__init__.py
@@ -0,0 +1,1 @@
+"""Private package; newcomers need not open it."""
--- /dev/null
+++ b/src/heatherpick/_core/messages.py
@@ -0,0 +1,175 @@
+"""Messages between nodes. Each is a frozen data class; the codec is the shell's."""
+
+from dataclasses import dataclass
+from enum import IntEnum
+
+__all__ = [
+    "DocumentReply",
+    "DocumentRequest",
+    "Heartbeat",
+    "Hello",
+    "KeyedCall",
+    "KeyedResult",
+    "LegBatch",
+    "LegCancel",
+    "LegOutcome",
+    "LegResults",
+    "LegSpec",
+    "LegStatus",
+    "Outcome",
+]
+
+
+class LegStatus(IntEnum):
+    """How one leg ended, classed by what is proved about the upstream's work."""
+
+    ANSWERED = 0
+    #: Never left a node: queue expired, cancelled, drained, no share, moved.
+    NOT_SENT = 1
+    #: The upstream said that it did not start the work.
+    SHED = 2
+    #: The upstream no longer serves the pinned index version.
+    GONE = 3
+    #: The upstream started and said that it failed.
+    FAILED = 4
+    #: A byte may have left and no answer came.
+    UNKNOWN = 5
+
+
+class Outcome(IntEnum):
+    """What a caller is told about its request."""
+
+    ANSWERED = 0
+    PARTIAL = 1
+    NOT_RUN = 2
+    UNKNOWN = 3
+
+
+@dataclass(frozen=True, slots=True)
+class Hello:
+    """First message on a peer connection, in both directions.
+
+    ``incarnation`` is unique for each start of the process; ``address`` is the
+    ``ip:port`` at which the sender takes peer connections.
+    """
+
+    node: str
+    incarnation: str
+    data_centre: str
+    address: str
+
+
+@dataclass(frozen=True, slots=True)
+class Heartbeat:
+    """Liveness between two members of one data centre.
+
+    ``sequence`` counts the sender's heartbeats to this receiver; ``echo`` is the
+    last sequence that the sender had from the receiver (0 for none); ``epoch`` is
+    the sender's membership version; ``heard`` names the members that the sender
+    has heard within the suspicion time; ``leaving`` is set from the start of a
+    planned stop and ``released`` once the sender admits nothing any more;
+    ``versions`` are the sender's document versions by name.
+    """
+
+    sequence: int
+    echo: int
+    epoch: int
+    heard: tuple[str, ...]
+    leaving: bool
+    released: bool
+    versions: tuple[tuple[str, int], ...]
+
+
+@dataclass(frozen=True, slots=True)
+class LegSpec:
+    """One shard's part of a query, to one upstream."""
+
+    leg_id: int
+    upstream: str
+    shard: int
+
+
+@dataclass(frozen=True, slots=True)
+class LegBatch:
+    """The legs of one query that go to upstreams owned by one node.
+
+    ``remaining_ms`` is the time left when the message was sent; ``traceparent``
+    is the W3C trace context of the sending span.
+    """
+
+    request_id: str
+    service: str
+    shard_set: str
+    version: int
+    priority: int
+    remaining_ms: float
+    query: str
+    traceparent: str
+    legs: tuple[LegSpec, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class LegOutcome:
+    """How one leg ended; ``version`` and ``hits`` are the upstream's own words."""
+
+    leg_id: int
+    shard: int
+    status: LegStatus
+    version: int = 0
+    hits: tuple = ()
+    reason: str = ""
+    service_ms: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class LegResults:
+    """Outcomes of some legs of one `LegBatch`."""
+
+    request_id: str
+    outcomes: tuple[LegOutcome, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class LegCancel:
+    """Ask the owner to drop legs whose outcome is no longer wanted."""
+
+    request_id: str
+    leg_ids: tuple[int, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class KeyedCall:
+    """Forward a request that may not be repeated to the node that owns its key."""
+
+    request_id: str
+    service: str
+    key: str
+    body: str
+    remaining_ms: float
+    traceparent: str
+
+
+@dataclass(frozen=True, slots=True)
+class KeyedResult:
+    """The outcome of a `KeyedCall`."""
+
+    request_id: str
+    outcome: Outcome
+    body: str = ""
+    reason: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class DocumentRequest:
+    """Ask a peer for a document of which it has a newer version."""
+
+    name: str
+
+
+@dataclass(frozen=True, slots=True)
+class DocumentReply:
+    """A document as the platform published it."""
+
+    name: str
+    version: int
+    body: str
--- /dev/null
+++ b/src/heatherpick/_declarations/__init__.py
@@ -0,0 +1,1 @@
+"""Private package of the declarations; import `heatherpick.declarations`."""
