--- a/standins/web.py
+++ b/standins/web.py
@@ -9,6 +9,7 @@
 
 __all__ = [
     "announce",
+    "check_keys",
     "drop_connection",
     "make_site",
     "read_json",
@@ -39,6 +40,22 @@
     return data
 
 
+def check_keys(data, names):
+    """Return ``data`` if it is a JSON object with all of the keys ``names``.
+
+    Raises
+    ------
+    ValueError
+        If it is not; the message names the first key that is missing.
+    """
+    if not isinstance(data, dict):
+        raise ValueError(f"{data!r} is not a JSON object; send one")
+    missing = [name for name in names if name not in data]
+    if missing:
+        raise ValueError(f"no key {missing[0]!r}; add it")
+    return data
+
+
 def read_number(request, name, default):
     """Return a whole number from the query string of ``request``.
 
