--- a/src/heatherpick/_ini/reader.py
+++ b/src/heatherpick/_ini/reader.py
@@ -141,10 +141,11 @@
     try:
         parser.read_file(lines, path)
     except configparser.MissingSectionHeaderError as error:
+        shown = quote(error.line.strip())
         findings.add(
             (path, error.lineno),
             "line",
-            f"{quote(error.line.strip())} stands before any section; put [SECTION] before it",
+            f"{shown} stands before any section; put [SECTION] before it",
         )
     except configparser.ParsingError as error:
         for number, _ in error.errors:
