--- a/src/heatherpick/__main__.py
+++ b/src/heatherpick/__main__.py
@@ -10,8 +10,10 @@
     DeclarationError,
     HeatherpickError,
     InvalidArgument,
-    RequestFailed,
+    PlatformUnavailable,
     SettingsError,
+    WriteConflict,
+    WriteUnknown,
 )
 
 __all__ = ["main"]
@@ -22,7 +24,7 @@
   1  the operation failed or was refused
   2  the input is faulty; every finding is printed
   3  another operator's change came first
-  4  the platform cannot be reached
+  4  the platform cannot be reached, or did not say whether a write took effect
 """
 
 
@@ -50,7 +52,9 @@
     match error:
         case SettingsError() | DeclarationError() | InvalidArgument():
             return ExitCode.BAD_INPUT
-        case RequestFailed():
+        case WriteConflict():
+            return ExitCode.CONFLICT
+        case PlatformUnavailable() | WriteUnknown():
             return ExitCode.NO_PLATFORM
         case _:
             return ExitCode.FAILED
--- a/src/heatherpick/_commands/__init__.py
+++ b/src/heatherpick/_commands/__init__.py
@@ -1,8 +1,13 @@
 """Private package; the subcommands of the program, one a module."""
 
 from heatherpick._commands.check import CheckCommand
+from heatherpick._commands.diff import DiffCommand
+from heatherpick._commands.drain import DrainCommand
 from heatherpick._commands.node import NodeCommand
 from heatherpick._commands.publish import PublishCommand
+from heatherpick._commands.query import QueryCommand
+from heatherpick._commands.status import StatusCommand
+from heatherpick._commands.undrain import UndrainCommand
 
 __all__ = ["COMMANDS"]
 
@@ -10,5 +15,10 @@
 COMMANDS = (
     NodeCommand(),
     CheckCommand(),
+    DiffCommand(),
     PublishCommand(),
+    DrainCommand(),
+    UndrainCommand(),
+    StatusCommand(),
+    QueryCommand(),
 )
--- a/src/heatherpick/_commands/arguments.py
+++ b/src/heatherpick/_commands/arguments.py
@@ -1,11 +1,25 @@
 """Arguments that several commands share."""
 
 import argparse
+from functools import partial
 
-from heatherpick._commands.command import check_address
-from heatherpick.errors import InvalidArgument
+from returns.result import Success
 
-__all__ = ["add_node", "add_paths", "add_platform", "parse_address"]
+from heatherpick._ini.values import AddressValue, NumberValue
+
+__all__ = [
+    "add_confirmation",
+    "add_node",
+    "add_paths",
+    "add_platform",
+    "build_number",
+    "parse_address",
+]
+
+DEFAULT_WAIT_MS = 10_000
+MAX_WAIT_MS = 3_600_000
+
+_ADDRESS = AddressValue()
 
 
 def add_paths(parser):
@@ -40,9 +54,38 @@
     )
 
 
+def add_confirmation(parser):
+    """Add the nodes that must have a new version before the command ends."""
+    parser.add_argument(
+        "--nodes",
+        metavar="IP:PORT",
+        nargs="+",
+        default=[],
+        type=parse_address,
+        help="wait until these nodes have the new version",
+    )
+    parser.add_argument(
+        "--wait-ms",
+        metavar="MS",
+        default=DEFAULT_WAIT_MS,
+        type=build_number(0, MAX_WAIT_MS),
+        help="time to wait for --nodes (default: %(default)s)",
+    )
+
+
+def build_number(minimum, maximum):
+    """Return a function by which argparse reads a number within bounds."""
+    return partial(_parse, NumberValue(minimum, maximum))
+
+
 def parse_address(text):
     """Return ``text`` if it is ``ip:port``, else fail as argparse wants it."""
-    try:
-        return check_address(text)
-    except InvalidArgument as error:
-        raise argparse.ArgumentTypeError(str(error)) from None
+    return _parse(_ADDRESS, text)
+
+
+def _parse(value, text):
+    match value.read(text):
+        case Success(read):
+            return read
+        case failure:
+            raise argparse.ArgumentTypeError(failure.failure())
--- a/src/heatherpick/_commands/command.py
+++ b/src/heatherpick/_commands/command.py
@@ -4,10 +4,7 @@
 from dataclasses import dataclass
 from enum import IntEnum
 
-from heatherpick._ini.values import AddressValue
-from heatherpick.errors import InvalidArgument
-
-__all__ = ["Command", "Context", "ExitCode", "NetworkCommand", "check_address"]
+__all__ = ["Command", "Context", "ExitCode", "NetworkCommand"]
 
 
 class ExitCode(IntEnum):
@@ -70,7 +67,7 @@
 
     def run(self, arguments):
         """Run `execute` under the reactor."""
-        # Twisted is imported here so that `check` and `--help` start at once.
+        # Imported late: treq installs the default reactor, which is the node's choice.
         import treq
         from twisted.internet import defer, task
 
@@ -102,17 +99,3 @@
     if isinstance(result, Exception):
         raise result
     return result
-
-
-def check_address(text):
-    """Return ``text`` if it is ``ip:port``; raise InvalidArgument if it is not.
-
-    Examples
-    --------
-    >>> check_address("127.0.0.1:80")
-    '127.0.0.1:80'
-    """
-    value = AddressValue()
-    if value.read(text).swap().value_or(None) is not None:
-        raise InvalidArgument(f"{text!r} is not {value.describe()}")
-    return value.convert(text)
--- a/src/heatherpick/_commands/documents.py
+++ b/src/heatherpick/_commands/documents.py
@@ -9,6 +9,7 @@
     decode_drains,
     find_differences,
 )
+from heatherpick.errors import DeclarationError
 
 __all__ = ["print_differences", "read_declarations", "read_drains"]
 
@@ -16,18 +17,37 @@
 MAX_DIFFERENCES_SHOWN = 100
 
 
-async def read_declarations(platform):
-    """Return the live `DeclarationSet`, empty if there is none, and its object."""
+async def read_declarations(platform, is_replaced=False):
+    """Return the live `DeclarationSet`, empty if there is none, and its object.
+
+    Parameters
+    ----------
+    platform : Platform
+        Where to read.
+    is_replaced : bool
+        Take a set that cannot be decoded as empty, so that it can be replaced.
+
+    Raises
+    ------
+    DeclarationError
+        If the live set cannot be decoded and is not to be replaced.
+    """
     current = await platform.read(DECLARATIONS_OBJECT)
     if current.version == 0:
         return DeclarationSet(), current
-    return decode_declarations(current.body), current
+    try:
+        return decode_declarations(current.body), current
+    except DeclarationError:
+        if not is_replaced:
+            raise
+        return DeclarationSet(), current
 
 
 async def read_drains(platform):
-    """Return the live `Drains`."""
+    """Return the live `Drains`, empty if there are none, and their object."""
     current = await platform.read(DRAINS_OBJECT)
-    return decode_drains(current.body) if current.version else Drains()
+    drains = decode_drains(current.body) if current.version else Drains()
+    return drains, current
 
 
 def print_differences(old, new):
--- a/src/heatherpick/_commands/http.py
+++ b/src/heatherpick/_commands/http.py
@@ -3,15 +3,17 @@
 import json
 from dataclasses import dataclass
 
-from twisted.internet import defer, error
+from twisted.internet import defer, error, task
 from twisted.web.client import ResponseNeverReceived
 
 from heatherpick.errors import RequestFailed
 
-__all__ = ["DEFAULT_TIMEOUT_S", "Answer", "request"]
+__all__ = ["DEFAULT_TIMEOUT_S", "HTTP_OK", "Answer", "request", "sleep"]
 
 DEFAULT_TIMEOUT_S = 10.0
 
+HTTP_OK = 200
+
 #: Size of the largest answer that is read. A body of 1 MB may take six bytes for
 #: each character as JSON.
 MAX_ANSWER_BYTES = 8 * 1024 * 1024
@@ -63,6 +65,11 @@
         raise RequestFailed(message, was_sent=True) from None
 
 
+def sleep(clock, seconds):
+    """Return an awaitable that is done after some seconds of ``clock``."""
+    return task.deferLater(clock, seconds)
+
+
 async def _exchange(context, method, url, options):
     response = await context.http.request(method, url, **options)
     chunks = _Chunks()
--- a/src/heatherpick/_commands/platform.py
+++ b/src/heatherpick/_commands/platform.py
@@ -2,10 +2,15 @@
 
 from dataclasses import dataclass
 
-from heatherpick._commands.http import request
-from heatherpick.errors import RequestFailed
+from heatherpick._commands.http import request, sleep
+from heatherpick.errors import (
+    PlatformUnavailable,
+    RequestFailed,
+    WriteConflict,
+    WriteUnknown,
+)
 
-__all__ = ["Platform", "PlatformObject", "WriteConflict", "WriteUnknown"]
+__all__ = ["Platform", "PlatformObject"]
 
 #: Attempts to read back after the answer of a write was lost.
 N_READ_BACKS = 5
@@ -23,18 +28,6 @@
     body: str
 
 
-class WriteConflict(Exception):
-    """Raised when another write came first; carries the object as it stands."""
-
-    def __init__(self, current):
-        self.current = current
-        super().__init__(f"{current.name} is at version {current.version}")
-
-
-class WriteUnknown(Exception):
-    """Raised when a write may have taken effect and the platform stays silent."""
-
-
 class Platform:
     """Client of one platform.
 
@@ -55,16 +48,16 @@
 
         Raises
         ------
-        RequestFailed
+        PlatformUnavailable
             If the platform gives no usable answer.
         """
-        answer = await request(self._context, "GET", self._url(name))
+        answer = await self._request("GET", name)
         match answer.status, answer.content:
             case 404, _:
                 return PlatformObject(name, 0, "")
             case 200, content:
                 return _parse_object(name, content)
-        raise RequestFailed(f"GET {name}: status {answer.status}", was_sent=True)
+        raise PlatformUnavailable(f"GET {name}: status {answer.status}", was_sent=True)
 
     async def write(self, name, expected, body):
         """Write an object if it is still at version ``expected`` (0: absent).
@@ -80,7 +73,7 @@
 
         Raises
         ------
-        RequestFailed
+        PlatformUnavailable
             If the write surely did not take effect.
         WriteConflict
             If another write came first.
@@ -89,7 +82,7 @@
         """
         try:
             return await self._write_once(name, expected, body)
-        except RequestFailed as failure:
+        except PlatformUnavailable as failure:
             if not failure.was_sent:
                 raise
         for _ in range(N_READ_BACKS):
@@ -98,37 +91,36 @@
                 return _compare(current, body)
             try:
                 return await self._write_once(name, expected, body)
-            except RequestFailed:
+            except PlatformUnavailable:
                 continue
         raise WriteUnknown(f"{name}: the platform gives no answer to the write")
 
     async def _write_once(self, name, expected, body):
-        answer = await request(
-            self._context,
-            "PUT",
-            self._url(name),
-            json={"body": body},
-            headers={"If-Match": str(expected)},
-        )
+        headers = {"If-Match": str(expected)}
+        answer = await self._request("PUT", name, json={"body": body}, headers=headers)
         match answer.status, answer.content:
             case 200, {"version": int(version)}:
                 return PlatformObject(name, version, body)
             case 409, content:
                 return _compare(_parse_object(name, content), body)
-        raise RequestFailed(f"PUT {name}: status {answer.status}", was_sent=True)
+        raise PlatformUnavailable(f"PUT {name}: status {answer.status}", was_sent=True)
 
     async def _read_back(self, name):
         for attempt in range(N_READ_BACKS):
             if attempt:
-                await _sleep(self._context.clock, READ_BACK_AFTER_S)
+                await sleep(self._context.clock, READ_BACK_AFTER_S)
             try:
                 return await self.read(name)
-            except RequestFailed as failure:
+            except PlatformUnavailable as failure:
                 last = failure
         raise WriteUnknown(f"{name}: the answer of the write was lost, then {last}")
 
-    def _url(self, name):
-        return f"http://{self._address}/v1/objects/{name}"
+    async def _request(self, method, name, **options):
+        url = f"http://{self._address}/v1/objects/{name}"
+        try:
+            return await request(self._context, method, url, **options)
+        except RequestFailed as failure:
+            raise PlatformUnavailable(str(failure), failure.was_sent) from None
 
 
 def _compare(current, body):
@@ -144,10 +136,4 @@
             return PlatformObject(name, version, body)
         case _:
             message = f"{name}: the platform's answer is not an object"
-            raise RequestFailed(message, was_sent=True)
-
-
-def _sleep(clock, seconds):
-    from twisted.internet import task
-
-    return task.deferLater(clock, seconds)
+            raise PlatformUnavailable(message, was_sent=True)
--- a/src/heatherpick/_commands/publish.py
+++ b/src/heatherpick/_commands/publish.py
@@ -1,13 +1,14 @@
 """Publish declarations to the platform."""
 
-from heatherpick._commands.arguments import add_paths, add_platform
+from heatherpick._commands.arguments import add_confirmation, add_paths, add_platform
 from heatherpick._commands.command import ExitCode, NetworkCommand
+from heatherpick._commands.confirm import confirm
 from heatherpick._commands.documents import (
     print_differences,
     read_declarations,
     read_drains,
 )
-from heatherpick._commands.platform import Platform, WriteConflict
+from heatherpick._commands.platform import Platform
 from heatherpick.declarations import (
     DECLARATIONS_OBJECT,
     decode_declarations,
@@ -15,7 +16,7 @@
     find_unsafe_changes,
     load_declarations,
 )
-from heatherpick.errors import DeclarationError
+from heatherpick.errors import DeclarationError, OperationFailed, WriteConflict
 
 __all__ = ["PublishCommand"]
 
@@ -35,6 +36,7 @@
         """Add the files, the platform and ``--allow-unsafe``."""
         add_paths(parser)
         add_platform(parser)
+        add_confirmation(parser)
         parser.add_argument(
             "--allow-unsafe",
             action="store_true",
@@ -46,23 +48,32 @@
         new = load_declarations(arguments.paths)
         body = encode_declarations(new)
         platform = Platform(context, arguments.platform)
-        live, live_object = await read_declarations(platform)
-        if live_object.body == body:
-            print(f"version {live_object.version} is live already, nothing to publish")
-            return ExitCode.OK
-        unsafe = find_unsafe_changes(live, new, await read_drains(platform))
-        if unsafe and not arguments.allow_unsafe:
-            raise DeclarationError(unsafe)
+        live, current = await read_declarations(
+            platform, is_replaced=arguments.allow_unsafe
+        )
+        if current.body == body:
+            print(f"version {current.version} is live already, nothing to publish")
+            return await confirm(arguments, context, current)
+        if not arguments.allow_unsafe:
+            await _check_safe(platform, live, new)
         try:
-            written = await platform.write(
-                DECLARATIONS_OBJECT, live_object.version, body
-            )
+            written = await platform.write(DECLARATIONS_OBJECT, current.version, body)
         except WriteConflict as conflict:
             _print_conflict(live, conflict.current)
             return ExitCode.CONFLICT
         print_differences(live, new)
         print(f"published version {written.version}")
-        return ExitCode.OK
+        return await confirm(arguments, context, written)
+
+
+async def _check_safe(platform, live, new):
+    drains, _ = await read_drains(platform)
+    unsafe = find_unsafe_changes(live, new, drains)
+    if unsafe:
+        raise OperationFailed(
+            f"{DeclarationError(unsafe)}\n"
+            "nothing is published; --allow-unsafe publishes nevertheless"
+        )
 
 
 def _print_conflict(live, current):
@@ -70,5 +81,8 @@
         f"conflict: another operator has published version {current.version}; nothing "
         "of yours is in force. Their change:"
     )
-    print_differences(live, decode_declarations(current.body))
+    try:
+        print_differences(live, decode_declarations(current.body))
+    except DeclarationError as error:
+        print(error)
     print("take their change into your files, then publish again")
--- /dev/null
+++ b/src/heatherpick/_commands/query.py
@@ -0,0 +1,135 @@
+"""Ask a service as a caller does, and show answer, coverage and time."""
+
+import json
+import secrets
+
+from heatherpick._commands.arguments import add_node, build_number
+from heatherpick._commands.command import ExitCode, NetworkCommand
+from heatherpick._commands.http import DEFAULT_TIMEOUT_S, HTTP_OK, request
+from heatherpick._ini.values import NameValue, quote
+from heatherpick.errors import InvalidArgument, OperationFailed
+
+__all__ = ["QueryCommand"]
+
+MS_PER_S = 1000
+MAX_DEADLINE_MS = 3_600_000
+
+#: Hits that are printed.
+MAX_HITS_SHOWN = 20
+
+#: Statuses by which a node refuses a request as faulty.
+REFUSED_AS_FAULTY = (400, 404, 413)
+
+
+class QueryCommand(NetworkCommand):
+    """Send one request to a service."""
+
+    name = "query"
+    summary = "send a search or an order to a service"
+    description = (
+        "Sends one request to a node and prints outcome, coverage, hits and time. "
+        "Exits 0 if the outcome is answered or partial, else 1."
+    )
+
+    def add_arguments(self, parser):
+        """Add service, node and request."""
+        parser.add_argument("service", metavar="SERVICE", help="name of the service")
+        add_node(parser)
+        content = parser.add_mutually_exclusive_group(required=True)
+        content.add_argument("--query", metavar="TEXT", help="text to search for")
+        content.add_argument("--order", metavar="JSON", help="order, needs --key")
+        parser.add_argument("--key", metavar="KEY", help="idempotency key of the order")
+        parser.add_argument(
+            "--deadline-ms",
+            metavar="MS",
+            type=build_number(1, MAX_DEADLINE_MS),
+            help="time to wait, if shorter than the service's deadline",
+        )
+        parser.add_argument(
+            "--json", action="store_true", help="print the answer as JSON"
+        )
+
+    async def execute(self, arguments, context):
+        """Send and print."""
+        content = _build_content(arguments)
+        trace_id = secrets.token_hex(16)
+        started = context.clock.seconds()
+        answer = await request(
+            context,
+            "POST",
+            f"http://{arguments.node}/v1/services/{_check_service(arguments.service)}",
+            json=content,
+            headers=_build_headers(arguments, trace_id),
+            timeout_s=_choose_timeout(arguments),
+        )
+        elapsed_ms = (context.clock.seconds() - started) * MS_PER_S
+        if arguments.json:
+            print(json.dumps(answer.content, indent=2))
+        else:
+            _print_answer(_check_answer(answer))
+            print(f"time: {elapsed_ms:.1f} ms")
+            print(f"trace: {trace_id}")
+        return _choose_exit_code(answer)
+
+
+def _build_content(arguments):
+    if arguments.query is not None:
+        return {"query": arguments.query}
+    if not arguments.key:
+        raise InvalidArgument(
+            "--order needs --key, so that a repeat of the command is not a second order"
+        )
+    try:
+        return {"order": json.loads(arguments.order)}
+    except (ValueError, RecursionError) as error:
+        raise InvalidArgument(f"--order is not JSON: {error}") from None
+
+
+def _check_service(name):
+    value = NameValue()
+    if value.read(name).value_or(None) is None:
+        raise InvalidArgument(f"SERVICE {quote(name)} is not {value.describe()}")
+    return name
+
+
+def _build_headers(arguments, trace_id):
+    headers = {"traceparent": f"00-{trace_id}-{secrets.token_hex(8)}-01"}
+    if arguments.deadline_ms is not None:
+        headers["Deadline-Ms"] = f"{arguments.deadline_ms:g}"
+    if arguments.key:
+        headers["Idempotency-Key"] = arguments.key
+    return headers
+
+
+def _choose_timeout(arguments):
+    """The node answers at the deadline; the default is for the way there and back."""
+    return DEFAULT_TIMEOUT_S + (arguments.deadline_ms or 0) / MS_PER_S
+
+
+def _check_answer(answer):
+    if not isinstance(answer.content, dict):
+        raise OperationFailed(
+            f"the node answers with status {answer.status} and no JSON object"
+        )
+    return answer.content
+
+
+def _print_answer(content):
+    for key in ("outcome", "reason", "error", "body"):
+        if content.get(key):
+            print(f"{key}: {content[key]}")
+    match content.get("coverage"):
+        case {"n_shards": int(n_shards), "n_covered": n_covered} if n_shards:
+            print(f"coverage: {n_covered} of {n_shards} shards")
+            print(f"index version: {content.get('index_version')}")
+    hits = content.get("hits") or []
+    for hit in hits[:MAX_HITS_SHOWN]:
+        print(f"hit: {json.dumps(hit)}")
+    if len(hits) > MAX_HITS_SHOWN:
+        print(f"... and {len(hits) - MAX_HITS_SHOWN} more hits")
+
+
+def _choose_exit_code(answer):
+    if answer.status in REFUSED_AS_FAULTY:
+        return ExitCode.BAD_INPUT
+    return ExitCode.OK if answer.status == HTTP_OK else ExitCode.FAILED
--- a/src/heatherpick/errors.py
+++ b/src/heatherpick/errors.py
@@ -8,8 +8,12 @@
     "FrameError",
     "HeatherpickError",
     "InvalidArgument",
+    "OperationFailed",
+    "PlatformUnavailable",
     "RequestFailed",
     "SettingsError",
+    "WriteConflict",
+    "WriteUnknown",
 ]
 
 
@@ -29,8 +33,12 @@
     """Raised when the bytes of a peer or of the platform are not a known message."""
 
 
+class OperationFailed(HeatherpickError):
+    """Raised by commands when an operation is refused or does not reach its end."""
+
+
 class RequestFailed(HeatherpickError):
-    """Raised by commands when a platform or a node gives no usable answer.
+    """Raised by commands when the other side gives no usable answer.
 
     Parameters
     ----------
@@ -45,6 +53,31 @@
         super().__init__(message)
 
 
+class PlatformUnavailable(RequestFailed):
+    """Raised by commands when the platform gives no usable answer."""
+
+
+class WriteConflict(HeatherpickError):
+    """Raised by commands when another write of an object came first.
+
+    Parameters
+    ----------
+    current : PlatformObject
+        The object as it stands.
+    """
+
+    def __init__(self, current):
+        self.current = current
+        super().__init__(
+            f"{current.name} was changed to version {current.version} by another "
+            "operator; run the command again"
+        )
+
+
+class WriteUnknown(HeatherpickError):
+    """Raised by commands when a write may have taken effect and none can tell."""
+
+
 @dataclass(frozen=True, slots=True)
 class Finding:
     """One thing wrong with a file, with its place and the remedy.
