--- a/src/heatherpick/_commands/query.py
+++ b/src/heatherpick/_commands/query.py
@@ -52,6 +52,7 @@
     async def execute(self, arguments, context):
         """Send and print."""
         content = _build_content(arguments)
+        _check_key(arguments.key)
         trace_id = secrets.token_hex(16)
         started = context.clock.seconds()
         answer = await request(
@@ -92,6 +93,12 @@
     return name
 
 
+def _check_key(key):
+    # A header cannot carry every text, and a key changed on the way is another key.
+    if key is not None and not (key.isascii() and key.isprintable() and key.strip()):
+        raise InvalidArgument(f"--key {quote(key)} is not printable ASCII")
+
+
 def _build_headers(arguments, trace_id):
     headers = {"traceparent": f"00-{trace_id}-{secrets.token_hex(8)}-01"}
     if arguments.deadline_ms is not None:
@@ -120,9 +127,23 @@
             print(f"{key}: {content[key]}")
     match content.get("coverage"):
         case {"n_shards": int(n_shards), "n_covered": n_covered} if n_shards:
-            print(f"coverage: {n_covered} of {n_shards} shards")
+            missing = _format_missing(content["coverage"])
+            print(f"coverage: {n_covered} of {n_shards} shards{missing}")
             print(f"index version: {content.get('index_version')}")
-    hits = content.get("hits") or []
+    hits = content.get("hits")
+    if isinstance(hits, list):
+        _print_hits(hits)
+
+
+def _format_missing(coverage):
+    match coverage.get("missing"):
+        case [_, *_] as missing:
+            return f", missing: {', '.join(map(str, missing))}"
+        case _:
+            return ""
+
+
+def _print_hits(hits):
     for hit in hits[:MAX_HITS_SHOWN]:
         print(f"hit: {json.dumps(hit)}")
     if len(hits) > MAX_HITS_SHOWN:
--- /dev/null
+++ b/tests/contract/test_publish.py
@@ -0,0 +1,191 @@
+import json
+
+import pytest
+
+from heatherpick._commands.command import ExitCode
+from heatherpick.declarations import (
+    DECLARATIONS_OBJECT,
+    DRAINS_OBJECT,
+    Drains,
+    decode_declarations,
+    encode_declarations,
+    encode_drains,
+    load_declarations,
+)
+from heatherpick.errors import (
+    DeclarationError,
+    OperationFailed,
+    PlatformUnavailable,
+    WriteUnknown,
+)
+from tests.contract.fake_platform import ADDRESS, FakePlatform
+
+KUUSIKETJU = "examples/kuusiketju"
+MINE = encode_declarations(load_declarations([KUUSIKETJU]))
+LIVE = MINE.replace('"yard","yes"', '"desk","yes"')
+THEIRS = LIVE.replace('"0.5","1"', '"0.6","1"')
+
+
+@pytest.fixture
+def platform():
+    platform = FakePlatform()
+    platform.put(DECLARATIONS_OBJECT, LIVE)
+    return platform
+
+
+def publish(platform, *options):
+    return platform.run("publish", KUUSIKETJU, "--platform", ADDRESS, *options)
+
+
+def write_theirs(platform):
+    platform.put(DECLARATIONS_OBJECT, THEIRS)
+
+
+def test_set_is_published_with_the_next_version(platform, capsys):
+    assert publish(platform) is ExitCode.OK
+    assert platform.objects[DECLARATIONS_OBJECT] == (2, MINE)
+    assert "changed [service lookup] deadline: desk -> yard" in capsys.readouterr().out
+
+
+def test_first_set_is_published_where_there_is_none(platform):
+    platform.objects.clear()
+    assert publish(platform) is ExitCode.OK
+    assert platform.objects[DECLARATIONS_OBJECT] == (1, MINE)
+
+
+def test_set_that_is_live_already_is_not_written(platform):
+    platform.put(DECLARATIONS_OBJECT, MINE)
+    assert publish(platform) is ExitCode.OK
+    assert platform.n_writes == 0
+
+
+def test_racing_operator_gets_a_conflict_that_names_the_others_change(platform, capsys):
+    platform.write_faults = [write_theirs]
+    assert publish(platform) is ExitCode.CONFLICT
+    assert platform.objects[DECLARATIONS_OBJECT] == (2, THEIRS)
+    out = capsys.readouterr().out
+    assert "another operator has published version 2" in out
+    assert "changed [service certificate-desk] least_coverage: 0.5 -> 0.6" in out
+    assert "service lookup" not in out
+
+
+def lose_after_then_theirs(platform):
+    platform.put(DECLARATIONS_OBJECT, MINE)
+    platform.put(DECLARATIONS_OBJECT, THEIRS)
+    return "lose before"
+
+
+def theirs_then_lose(platform):
+    platform.put(DECLARATIONS_OBJECT, THEIRS)
+    return "lose after"
+
+
+def land_late(platform):
+    """The first write, thought lost, arrives just before its repetition."""
+    platform.put(DECLARATIONS_OBJECT, MINE)
+
+
+# Each row: a fault for each write, what the command says, version, writes received.
+LOST_ANSWERS = [
+    (["lose after"], ExitCode.OK, 2, 1),
+    (["lose before"], ExitCode.OK, 2, 1),
+    (["lose before", "lose after"], ExitCode.OK, 2, 1),
+    (["lose before", land_late], ExitCode.OK, 2, 1),
+    (["outage", "outage"], ExitCode.OK, 2, 1),
+    ([theirs_then_lose], ExitCode.CONFLICT, 2, 1),
+    ([lose_after_then_theirs], ExitCode.CONFLICT, 3, 0),
+    (["lose before", write_theirs], ExitCode.CONFLICT, 2, 1),
+]
+
+
+@pytest.mark.parametrize(("faults", "code", "version", "n_writes"), LOST_ANSWERS)
+def test_lost_answer_is_resolved_by_reading_back(
+    platform, faults, code, version, n_writes
+):
+    platform.write_faults = list(faults)
+    assert publish(platform) is code
+    assert platform.objects[DECLARATIONS_OBJECT][0] == version
+    assert platform.n_writes == n_writes
+
+
+def test_lost_answer_with_the_platform_silent_is_unknown(platform):
+    platform.write_faults = ["lose after"]
+    platform.read_faults = [None, None, *["outage"] * 100]
+    assert isinstance(publish(platform), WriteUnknown)
+    assert platform.n_writes == 1
+
+
+def test_read_back_waits_for_the_platform_to_return(platform):
+    platform.write_faults = ["lose after"]
+    platform.read_faults = [None, None, "outage", "refuse", "lose before"]
+    assert publish(platform) is ExitCode.OK
+    assert platform.n_writes == 1
+
+
+@pytest.mark.parametrize("fault", ["refuse", "outage", "lose before"])
+def test_unreachable_platform_changes_nothing(platform, fault):
+    platform.read_faults = [fault]
+    assert isinstance(publish(platform), PlatformUnavailable)
+    assert platform.n_writes == 0
+
+
+def test_write_that_never_left_is_not_repeated(platform):
+    platform.write_faults = ["refuse"]
+    assert isinstance(publish(platform), PlatformUnavailable)
+    assert platform.n_writes == 0
+
+
+def remove_upstream(body):
+    content = json.loads(body)
+    del content["kinds"]["service"]["rows"][1:]
+    row = ["extra", "fi-south-1", "127.0.0.1:1", "car-register", "findings", "0"]
+    content["kinds"]["upstream"]["rows"].append(row)
+    return json.dumps(content)
+
+
+def test_unsafe_change_is_refused_unless_allowed(platform):
+    platform.put(DECLARATIONS_OBJECT, remove_upstream(LIVE))
+    error = publish(platform)
+    assert isinstance(error, OperationFailed)
+    assert "[upstream extra]: is removed while in service" in str(error)
+    assert platform.n_writes == 0
+    assert publish(platform, "--allow-unsafe") is ExitCode.OK
+
+
+def test_drained_upstream_may_be_removed(platform):
+    platform.put(DECLARATIONS_OBJECT, remove_upstream(LIVE))
+    drains = Drains(upstreams=frozenset({"extra"}))
+    platform.put(DRAINS_OBJECT, encode_drains(drains))
+    assert publish(platform) is ExitCode.OK
+    live = decode_declarations(platform.objects[DECLARATIONS_OBJECT][1])
+    assert "extra" not in live.upstreams
+
+
+def test_live_set_that_cannot_be_decoded_is_replaced_only_when_told(platform):
+    platform.put(DECLARATIONS_OBJECT, "{}")
+    assert isinstance(publish(platform), DeclarationError)
+    assert publish(platform, "--allow-unsafe") is ExitCode.OK
+
+
+def test_confirmation_waits_for_every_node(platform, capsys):
+    old, new = ({"documents": {DECLARATIONS_OBJECT: version}} for version in (1, 2))
+    platform.statuses = [old, "?", new, old, new]
+    nodes = ("--nodes", "127.0.0.1:1", "127.0.0.1:2")
+    assert publish(platform, *nodes) is ExitCode.OK
+    assert platform.statuses == []
+    assert "confirmed by 2 nodes" in capsys.readouterr().out
+
+
+def test_node_that_lacks_the_version_is_named(platform):
+    platform.statuses = [{"documents": {}}] * 1000
+    error = publish(platform, "--nodes", "127.0.0.1:1", "--wait-ms", "500")
+    assert isinstance(error, OperationFailed)
+    assert "not confirmed by 127.0.0.1:1 within 500 ms" in str(error)
+
+
+def test_diff_writes_nothing(platform, capsys):
+    assert platform.run("diff", KUUSIKETJU, "--platform", ADDRESS) is ExitCode.OK
+    assert platform.n_writes == 0
+    out = capsys.readouterr().out
+    assert "changed [service lookup] deadline: desk -> yard" in out
+    assert out.endswith("differences from version 1: 1\n")
--- /dev/null
+++ b/tests/fuzz/test_ini_fuzz.py
@@ -0,0 +1,133 @@
+import itertools
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from heatherpick._declarations.kinds import KINDS
+from heatherpick._settings.node import NODE_VALUES
+from heatherpick.declarations import (
+    Drains,
+    decode_declarations,
+    decode_drains,
+    encode_declarations,
+    encode_drains,
+    load_declarations,
+)
+from heatherpick.errors import DeclarationError, SettingsError
+from heatherpick.settings import NodeSettings
+
+FIXED = settings(max_examples=200, derandomize=True, deadline=None, database=None)
+
+KEYS = sorted({key for kind in KINDS.values() for key in kind.values} | {*NODE_VALUES})
+NAMES = st.from_regex(r"[A-Za-z0-9][A-Za-z0-9._-]{0,8}", fullmatch=True)
+
+WORDS = st.sampled_from([*KINDS, *KEYS, "node", "a", "0", "1", "yes", "1.1.1.1:1"])
+PIECES = st.one_of(
+    WORDS,
+    st.sampled_from(["[", "]", "=", "\n", " ", "\t", "#", ";", "\r", "%", "@", "-"]),
+    st.text(max_size=5),
+    WORDS.map(lambda word: f"\n[{word} a]\n"),
+    WORDS.map(lambda word: f"\n{word} = "),
+)
+TEXTS = st.lists(PIECES, max_size=30).map("".join)
+CONTENTS = TEXTS.map(lambda text: text.encode("utf-8", "surrogatepass")) | st.binary()
+
+JSON = st.recursive(
+    st.none() | st.booleans() | st.floats() | st.text(max_size=5) | WORDS,
+    lambda inner: (
+        st.lists(inner, max_size=4)
+        | st.dictionaries(st.text(max_size=3) | WORDS, inner, max_size=4)
+    ),
+    max_leaves=20,
+)
+
+
+@FIXED
+@given(content=CONTENTS)
+def test_settings_raise_only_their_error(tmp_path_factory, content):
+    path = tmp_path_factory.getbasetemp() / "node.ini"
+    path.write_bytes(content)
+    with pytest.raises(SettingsError) as caught:
+        NodeSettings.from_file(path)
+    assert caught.value.findings
+
+
+@FIXED
+@given(content=CONTENTS)
+def test_declarations_raise_only_their_error(tmp_path_factory, content):
+    path = tmp_path_factory.getbasetemp() / "set.ini"
+    path.write_bytes(content)
+    try:
+        load_declarations([path])
+    except DeclarationError as error:
+        assert error.findings
+
+
+@FIXED
+@given(lines=st.lists(st.sampled_from(["a = 1", "  b = 2", "[x]", "", "# c", "z"])))
+def test_every_finding_names_a_line_of_the_file(tmp_path_factory, lines):
+    path = tmp_path_factory.getbasetemp() / "lines.ini"
+    path.write_text("\n".join(["[node]", *lines]))
+    with pytest.raises(SettingsError) as caught:
+        NodeSettings.from_file(path)
+    for finding in caught.value.findings:
+        assert 1 <= finding.line <= len(lines) + 1
+
+
+@FIXED
+@given(content=JSON, kinds=JSON, body=st.text())
+def test_decoders_raise_only_their_error(content, kinds, body):
+    import json
+
+    wrapped = {"format": 1, "kinds": kinds}
+    drained = {"format": 1, "data_centres": content, "upstreams": kinds}
+    bodies = [body, *map(json.dumps, (content, wrapped, drained))]
+    for decode, text in itertools.product((decode_declarations, decode_drains), bodies):
+        try:
+            decode(text)
+        except DeclarationError as error:
+            assert error.findings
+
+
+@st.composite
+def declared_texts(draw):
+    """Text of a valid set with drawn sizes, numbers and flags."""
+    n_shards = draw(st.integers(1, 9))
+    numbers = st.floats(0, 1e4, allow_subnormal=False).map(repr)
+    coverage = draw(st.floats(0, 1))
+    lines = ["[region r]", f"between_data_centres_ms = {draw(numbers)}"]
+    lines += [f"to_callers_ms = {draw(numbers)}", "[data-centre a]", "region = r"]
+    lines += ["[deadline d]", "total_ms = 3e6", f"margin_ms = {draw(numbers)}"]
+    lines += ["[limit l]", "n_slots = 3", "n_cold_slots = 1", "n_connections = 9"]
+    lines += [f"connect_ms = {draw(numbers)}", "n_batch = 1", "[shard-set f]"]
+    lines += [f"index_version = {draw(st.integers(1, 10**15))}"]
+    lines += [f"n_shards = {n_shards}", "n_group = 2"]
+    held = st.sets(st.integers(0, n_shards - 1), min_size=1)
+    held_by = [set(range(n_shards)), *draw(st.lists(held, max_size=4))]
+    for number, shards in enumerate(held_by):
+        lines += [f"[upstream u{number}]", "data_centre = a", "limit = l"]
+        lines += [f"address = 10.0.0.1:{number + 1}", "shard_set = f"]
+        lines += ["shards = " + " ".join(map(str, shards))]
+    lines += [f"[service {draw(NAMES)}]", "shard_set = f", "deadline = d"]
+    lines += [f"least_coverage = {coverage!r}", "weigh = coverage"]
+    lines += [f"repeatable = {draw(st.sampled_from(['yes', 'no']))}"]
+    return "\n".join(lines)
+
+
+@FIXED
+@given(text=declared_texts())
+def test_document_gives_back_the_declarations(tmp_path_factory, text):
+    path = tmp_path_factory.getbasetemp() / "whole.ini"
+    path.write_text(text)
+    declarations = load_declarations([path])
+    body = encode_declarations(declarations)
+    assert decode_declarations(body) == declarations
+    assert encode_declarations(decode_declarations(body)) == body
+
+
+@FIXED
+@given(data_centres=st.frozensets(NAMES), upstreams=st.frozensets(NAMES))
+def test_document_gives_back_the_drains(data_centres, upstreams):
+    drains = Drains(data_centres, upstreams)
+    assert decode_drains(encode_drains(drains)) == drains
--- /dev/null
+++ b/tests/unit/test_node_settings.py
@@ -0,0 +1,131 @@
+from pathlib import Path
+
+import pytest
+
+from heatherpick.errors import SettingsError
+from heatherpick.settings import NodeSettings
+
+GOOD = """\
+[node]
+name = n1
+data_centre = fi-south-1
+caller_address = 0.0.0.0:8080
+peer_address = 10.0.0.1:8081
+platform_address = [fd00::9]:9000
+seed_peers = n2@10.0.0.2:8081 n1@10.0.0.1:8081
+"""
+
+
+def read(text):
+    return NodeSettings.from_text("node.ini", text)
+
+
+def test_defaults_stand_where_keys_are_left_out():
+    settings = read(GOOD)
+    assert settings.platform_address == "[fd00::9]:9000"
+    assert settings.heartbeat_ms == 500
+    assert settings.trace_path == ""
+
+
+def test_own_name_is_left_out_of_seed_peers():
+    assert read(GOOD).seed_peers == (("n2", "10.0.0.2:8081"),)
+
+
+# Each row: text to replace, its replacement, and the start of the only finding.
+FAULTS = [
+    ("name = n1\n", "", "node.ini:1: [node] name: is missing"),
+    ("name = n1", "name = a/b", "node.ini:2: [node] name: 'a/b' is not a name"),
+    ("name = n1", "name =", "node.ini:2: [node] name: '' is not a name"),
+    (":8080", ":0", "node.ini:4: [node] caller_address: '0.0.0.0:0' is not an IP"),
+    ("10.0.0.1:8081\n", "host:1\n", "node.ini:5: [node] peer_address: 'host:1' is"),
+    ("10.0.0.1:8081\n", "0.0.0.0:1\n", "node.ini:5: [node] peer_address: '0.0.0.0:1'"),
+    ("[fd00::9]", "fd00::9", "node.ini:6: [node] platform_address: 'fd00::9:9000'"),
+    ("n2@", "n1@", "node.ini:7: [node] seed_peers: 'n1@10.0.0.2:8081 n1@1"),
+    ("n2@", "", "node.ini:7: [node] seed_peers: '10.0.0.2:8081 n1"),
+    ("seed_peers", "seed_pears", "node.ini:7: [node] 'seed_pears': is an unknown key"),
+    ("[node]", "junk\n[node]", "node.ini:1: line: 'junk' stands before any section"),
+    ("name = n1", "name = n1\nx", "node.ini:3: line: 'x' is neither"),
+    ("name = n1", "name = n1\nname = n1", "node.ini:3: [node] name: stands on line 2"),
+    ("[node]", "[nodes]\n[node]", "node.ini:1: [nodes]: is an unknown section"),
+    ("[node]", "[DEFAULT]\n[node]", "node.ini:1: [DEFAULT]: is an unknown section"),
+    ("0.0.0.0:8080", "10.0.0.1:8081", "node.ini:5: [node] peer_address: 10.0.0.1"),
+]
+
+ADDED_FAULTS = [
+    ("heartbeat_ms = 9", "'9' is not a whole number from 10 to 10000"),
+    ("heartbeat_ms = 1.5", "'1.5' is not a whole number"),
+    ("agree_within_ms = 999", "999 is less than 2 times heartbeat_ms 500"),
+    ("suspect_after_ms = 1500", "1500 does not exceed agree_within_ms 1500"),
+    ("max_body_bytes = 9999999999999999999", "is not a whole number"),
+    ("log_path =", "'' is not one line of text"),
+]
+
+
+@pytest.mark.parametrize(("old", "new", "start"), FAULTS)
+def test_each_fault_is_one_finding_with_its_place(old, new, start):
+    with pytest.raises(SettingsError) as caught:
+        read(GOOD.replace(old, new, 1))
+    shown = [str(finding) for finding in caught.value.findings]
+    # A broken first line leaves configparser without the rest of the file.
+    assert shown[-1].startswith(start) or shown[0].startswith(start)
+    assert len(shown) == 1 or "stands before any section" in str(caught.value)
+
+
+@pytest.mark.parametrize(("line", "message"), ADDED_FAULTS)
+def test_value_out_of_range_is_found_on_its_line(line, message):
+    with pytest.raises(SettingsError) as caught:
+        read(GOOD + line)
+    (finding,) = caught.value.findings
+    assert (finding.line, finding.subject) == (8, f"[node] {line.split()[0]}")
+    assert message in finding.message
+
+
+def test_all_findings_come_in_one_report():
+    with pytest.raises(SettingsError) as caught:
+        read("[node]\nname = /\nheartbeat_ms = x\nwhat = 1\n")
+    assert len(caught.value.findings) == 7
+
+
+@pytest.mark.parametrize("content", [b"\xff", b"[node]\n\xff"])
+def test_file_that_is_not_text_is_a_finding(tmp_path, content):
+    path = tmp_path / "node.ini"
+    path.write_bytes(content)
+    with pytest.raises(SettingsError, match="not UTF-8"):
+        NodeSettings.from_file(path)
+
+
+def test_file_that_cannot_be_read_is_a_finding(tmp_path):
+    for path in (tmp_path, tmp_path / "none.ini"):
+        with pytest.raises(SettingsError, match="cannot be read"):
+            NodeSettings.from_file(path)
+
+
+def test_continued_value_keeps_lines_right():
+    text = GOOD.replace("n2@10.0.0.2:8081 ", "n2@10.0.0.2:8081\n  ") + "x = 1"
+    with pytest.raises(SettingsError) as caught:
+        read(text)
+    (finding,) = caught.value.findings
+    assert finding.line == 9
+
+
+def test_continuation_that_looks_like_a_key_is_none():
+    with pytest.raises(SettingsError) as caught:
+        read(GOOD + "log_path = a\n name = n1")
+    (finding,) = caught.value.findings
+    assert (finding.line, finding.subject) == (8, "[node] log_path")
+
+
+def test_text_of_many_findings_is_bounded():
+    text = "[node]\n" + "".join(f"k{number} = 1\n" for number in range(10_000))
+    with pytest.raises(SettingsError) as caught:
+        read(text)
+    assert len(str(caught.value).splitlines()) == 101
+    assert str(caught.value).endswith("10005 findings in all")
+    assert len(caught.value.findings) == 10_000
+
+
+def test_every_key_stands_in_the_manual():
+    from heatherpick._settings.node import NODE_VALUES
+
+    manual = Path("docs/CONFIGURATION.md").read_text()
+    assert [key for key in NODE_VALUES if f"| `{key}` |" not in manual] == []
