Searches at the entry node: spread, hedge, retry, count coverage, answer in time

Ruled out: hedging at the owner, which sees neither the other replica nor the answer that the query still needs.

--- a/src/heatherpick/_core/effects.py
+++ b/src/heatherpick/_core/effects.py
@@ -10,6 +10,7 @@
     "CallUpstream",
     "CalledLeg",
     "CancelCall",
+    "CancelTimer",
     "Count",
     "DropPeer",
     "EndSpan",
@@ -156,6 +157,13 @@
     after_ms: float
 
 
+@dataclass(frozen=True, slots=True)
+class CancelTimer:
+    """Forget a timer; no timer of that name is no fault."""
+
+    name: str
+
+
 @dataclass(frozen=True, slots=True)
 class SetReadiness:
     """Tell the balancer whether this node takes callers."""
--- /dev/null
+++ b/src/heatherpick/_core/lifecycle.py
@@ -0,0 +1,144 @@
+"""A node's way from its start to a planned stop that cuts no request."""
+
+from typing import Protocol
+
+from automat import TypeMachineBuilder
+
+from heatherpick._core.effects import Exit, Log, SetReadiness, SetTimer
+
+__all__ = ["Lifecycle"]
+
+#: Time for which callers are still taken after the balancer has been told, in
+#: milliseconds. A balancer that polls once a second has noticed by then.
+SETTLE_MS = 2500.0
+#: Interval between two looks at whether all work has ended, in milliseconds.
+CHECK_MS = 50.0
+#: Longest wait for work that does not end, in milliseconds. It is far above every
+#: deadline, so what is left by then belongs to callers that have given up.
+FINISH_MS = 10000.0
+
+_SETTLED = "lifecycle:settled"
+_CHECK = "lifecycle:check"
+
+
+class _Steps(Protocol):
+    def open(self) -> list:
+        """Take callers: the first declarations are in force."""
+
+    def stop(self) -> list:
+        """Leave, as the operator asked."""
+
+    def settle(self) -> list:
+        """Take no more callers: the balancer has had its time."""
+
+    def finish(self) -> list:
+        """End: nothing is owed any more."""
+
+    def name(self) -> str:
+        """Return the name of the stage."""
+
+
+class _Nothing:
+    """The machine keeps no state of its own."""
+
+
+def _build_machine():
+    builder = TypeMachineBuilder(_Steps, _Nothing)
+    starting = builder.state("starting")
+    serving = builder.state("serving")
+    settling = builder.state("settling")
+    finishing = builder.state("finishing")
+    stopped = builder.state("stopped")
+
+    @starting.upon(_Steps.open).to(serving)
+    def open_doors(steps, core):
+        return [SetReadiness(True), Log("serving")]
+
+    @starting.upon(_Steps.stop).to(settling)
+    @serving.upon(_Steps.stop).to(settling)
+    def begin(steps, core):
+        return [SetReadiness(False), SetTimer(_SETTLED, SETTLE_MS), Log("leaving")]
+
+    @settling.upon(_Steps.settle).to(finishing)
+    def close_doors(steps, core):
+        return [SetTimer(_CHECK, CHECK_MS)]
+
+    @finishing.upon(_Steps.finish).to(stopped)
+    def end(steps, core):
+        return [Log("stopped"), Exit(0)]
+
+    for state in (serving, settling, finishing, stopped):
+        state.upon(_Steps.open).loop().returns([])
+    for state in (settling, finishing, stopped):
+        state.upon(_Steps.stop).loop().returns([])
+    for state in (starting, serving, finishing, stopped):
+        state.upon(_Steps.settle).loop().returns([])
+    for state in (starting, serving, settling, stopped):
+        state.upon(_Steps.finish).loop().returns([])
+    for state, name in (
+        (starting, "starting"),
+        (serving, "serving"),
+        (settling, "settling"),
+        (finishing, "finishing"),
+        (stopped, "stopped"),
+    ):
+        state.upon(_Steps.name).loop().returns(name)
+    return builder.build()
+
+
+_MACHINE = _build_machine()
+
+
+class Lifecycle:
+    """The stage of this node, and the steps of a planned stop.
+
+    Requests go on being taken until the balancer has had time to notice; a caller
+    that it still sends in between is served, not refused.
+    """
+
+    def __init__(self):
+        self._machine = _MACHINE(_Nothing())
+        self._finish_by = None
+
+    @property
+    def stage(self):
+        """Name of the stage."""
+        return self._machine.name()
+
+    @property
+    def accepts(self):
+        """Whether callers' requests are taken."""
+        return self.stage in ("serving", "settling")
+
+    @property
+    def is_leaving(self):
+        """Whether a planned stop has begun."""
+        return self.stage in ("settling", "finishing", "stopped")
+
+    def open(self):
+        """Take callers from now on; return effects."""
+        return self._machine.open()
+
+    def stop(self, now):
+        """Begin a planned stop; return effects."""
+        if self._finish_by is None:
+            self._finish_by = now + (SETTLE_MS + FINISH_MS) / 1000.0
+        return self._machine.stop()
+
+    def timer(self, name, is_idle, now):
+        """Take the next step of a stop; return effects.
+
+        Parameters
+        ----------
+        name : str
+            Name of the timer.
+        is_idle : bool
+            Whether all work that this node has taken is finished.
+        now : float
+            Time in seconds.
+        """
+        if name == _SETTLED:
+            return self._machine.settle()
+        if is_idle or now >= self._finish_by:
+            return self._machine.finish()
+        return [SetTimer(_CHECK, CHECK_MS)]
--- /dev/null
+++ b/src/heatherpick/_core/queries.py
@@ -0,0 +1,152 @@
+"""State of one search at its entry node, and the counting of its coverage."""
+
+from dataclasses import dataclass, field
+
+from heatherpick.declarations import Service, Snapshot
+
+__all__ = ["OpenLeg", "Query"]
+
+
+@dataclass(slots=True)
+class OpenLeg:
+    """A leg that has been sent and has not ended.
+
+    Parameters
+    ----------
+    shard : int
+        Shard that it reads.
+    upstream : str
+        Upstream that it was sent to.
+    owner : str
+        Node that admits to that upstream.
+    sent : float
+        Time of sending, in seconds.
+    hedge : bool
+        Whether it doubles a leg that was still open.
+    """
+
+    shard: int
+    upstream: str
+    owner: str
+    sent: float
+    hedge: bool
+
+
+@dataclass(slots=True)
+class Query:
+    """One search, pinned to one snapshot.
+
+    Parameters
+    ----------
+    request_id : str
+        Unguessable id of the request.
+    service : Service
+        The service that was asked.
+    snapshot : Snapshot
+        What every leg reads. Coverage is counted against its shards alone.
+    body : str
+        The query as JSON text.
+    traceparent : str
+        Trace context of the request.
+    started, answer_at : float
+        Arrival, and the last moment for the answer, in seconds.
+    settle_at : float
+        From then on an answer with the service's least coverage is sent.
+    """
+
+    request_id: str
+    service: Service
+    snapshot: Snapshot
+    body: str
+    traceparent: str
+    started: float
+    answer_at: float
+    settle_at: float
+    hits: dict[int, tuple] = field(default_factory=dict)
+    open_legs: dict[int, OpenLeg] = field(default_factory=dict)
+    open_of: dict[int, list[int]] = field(default_factory=dict)
+    tried: dict[int, list[str]] = field(default_factory=dict)
+    waiting: set[int] = field(default_factory=set)
+    n_legs: int = 0
+    started_work: bool = False
+    moved: bool = False
+    wants_move: bool = False
+    reasons: dict[str, int] = field(default_factory=dict)
+
+    @property
+    def n_covered(self):
+        """Number of shards of the snapshot that have answered."""
+        return len(self.hits)
+
+    @property
+    def coverage(self):
+        """Share of the snapshot's shards that have answered, 0 to 1."""
+        return len(self.hits) / self.snapshot.n_shards
+
+    @property
+    def is_complete(self):
+        """Whether every shard has answered."""
+        return len(self.hits) == self.snapshot.n_shards
+
+    def list_missing(self):
+        """Return the shards that have not answered, in order."""
+        return tuple(
+            shard for shard in range(self.snapshot.n_shards) if shard not in self.hits
+        )
+
+    def cover(self, shard, hits):
+        """Count a shard's answer; return whether it is the first."""
+        if shard in self.hits:
+            return False
+        self.hits[shard] = hits
+        self.waiting.discard(shard)
+        return True
+
+    def open_leg(self, leg_id, leg):
+        """Note a leg that is about to be sent."""
+        self.open_legs[leg_id] = leg
+        self.open_of.setdefault(leg.shard, []).append(leg_id)
+        self.tried.setdefault(leg.shard, []).append(leg.upstream)
+
+    def close_leg(self, leg_id):
+        """Return the open leg of that id and forget it; None if it is not open."""
+        leg = self.open_legs.pop(leg_id, None)
+        if leg is not None:
+            self.open_of[leg.shard].remove(leg_id)
+        return leg
+
+    def list_open(self, shard):
+        """Return the ids of the open legs of a shard."""
+        return tuple(self.open_of.get(shard, ()))
+
+    def move_to(self, snapshot):
+        """Start over on a newer snapshot, dropping all that was read before."""
+        self.snapshot = snapshot
+        self.hits = {}
+        self.open_legs = {}
+        self.open_of = {}
+        self.tried = {}
+        self.waiting = set()
+        self.moved = True
+        self.wants_move = False
+
+    def note_reason(self, reason):
+        """Count why a leg ended without an answer."""
+        self.reasons[reason] = self.reasons.get(reason, 0) + 1
+
+    def get_reason(self):
+        """Return the most frequent reason, or an empty string."""
+        if not self.reasons:
+            return ""
+        return max(sorted(self.reasons), key=self.reasons.get)
+
+    def merge_hits(self):
+        """Return the hits of all covered shards, best score first."""
+        merged = [hit for shard in sorted(self.hits) for hit in self.hits[shard]]
+        merged.sort(key=_get_score, reverse=True)
+        return tuple(merged)
+
+
+def _get_score(hit):
+    score = hit.get("score", 0.0) if isinstance(hit, dict) else 0.0
+    return score if isinstance(score, int | float) else 0.0
--- /dev/null
+++ b/tests/unit/test_searches.py
@@ -0,0 +1,275 @@
+import random
+
+import pytest
+
+from heatherpick._core.effects import AnswerCaller, CancelTimer, SendPeer, SetTimer
+from heatherpick._core.events import RequestArrived
+from heatherpick._core.messages import (
+    LegBatch,
+    LegCancel,
+    LegOutcome,
+    LegResults,
+    LegStatus,
+    Outcome,
+)
+from heatherpick._core.searches import Searches
+from heatherpick.declarations import (
+    DataCentre,
+    Deadline,
+    DeclarationSet,
+    Drains,
+    Limit,
+    Region,
+    Service,
+    ShardSet,
+    Upstream,
+    Weigh,
+)
+
+
+def build_declarations(version=1, weigh=Weigh.TAIL, n_shards=20, least_coverage=0.0):
+    """Every shard has a replica in each of two data centres."""
+    upstreams = {}
+    for shard in range(n_shards):
+        for place in ("one", "two"):
+            name = f"{place}-{shard:02}"
+            upstreams[name] = Upstream(name, place, "", "limit", "index", (shard,))
+    return DeclarationSet(
+        regions={"region": Region("region", 1.5, 3.0)},
+        data_centres={name: DataCentre(name, "region") for name in ("one", "two")},
+        deadlines={"deadline": Deadline("deadline", 210.0, 10.0)},
+        limits={"limit": Limit("limit", 3, 2, 60, 6.0, 16)},
+        upstreams=upstreams,
+        shard_sets={"index": ShardSet("index", version, n_shards, 10)},
+        services={
+            "lookup": Service(
+                "lookup", "index", "deadline", True, weigh, least_coverage
+            )
+        },
+    )
+
+
+class FakeDocuments:
+    def __init__(self, declarations):
+        self.declarations = declarations
+        self.drains = Drains()
+
+
+class FakeMembers:
+    """One owner for each data centre, named after it."""
+
+    def __init__(self):
+        self.dead = set()
+
+    def owner_of(self, group, now):
+        owner = f"node-{group.data_centre}"
+        return "" if owner in self.dead else owner
+
+
+class Harness:
+    def __init__(self, **keywords):
+        self.documents = FakeDocuments(build_declarations(**keywords))
+        self.members = FakeMembers()
+        self.searches = Searches(
+            "node-one", "one", self.documents, self.members, random.Random(7)
+        )
+
+    def begin(self, now=0.0, request_id="q"):
+        return self.searches.begin(RequestArrived(request_id, "lookup", "{}"), now)
+
+    def answer(self, effects, now, except_shards=(), **changes):
+        """Answer the legs of every batch among the effects."""
+        out = []
+        for node, batch in list_batches(effects):
+            legs = [leg for leg in batch.legs if leg.shard not in except_shards]
+            outcomes = [build_outcome(batch, leg, **changes) for leg in legs]
+            message = LegResults(batch.request_id, tuple(outcomes))
+            out.extend(self.searches.results(node, message, now))
+        return out
+
+
+def build_outcome(batch, leg, status=LegStatus.ANSWERED, version=None):
+    version = batch.version if version is None else version
+    hits = ({"id": leg.shard, "score": 1.0},) if status is LegStatus.ANSWERED else ()
+    return LegOutcome(leg.leg_id, leg.shard, status, version, hits, "", 1.0)
+
+
+def list_batches(effects):
+    return [
+        (effect.node, effect.message)
+        for effect in effects
+        if isinstance(effect, SendPeer) and isinstance(effect.message, LegBatch)
+    ]
+
+
+def list_cancels(effects):
+    return [
+        effect.message
+        for effect in effects
+        if isinstance(effect, SendPeer) and isinstance(effect.message, LegCancel)
+    ]
+
+
+def get_answer(effects):
+    (answer,) = [effect for effect in effects if isinstance(effect, AnswerCaller)]
+    return answer
+
+
+def has_answer(effects):
+    return any(isinstance(effect, AnswerCaller) for effect in effects)
+
+
+def test_each_owner_gets_one_message_with_all_its_legs():
+    batches = list_batches(Harness().begin())
+    assert len(batches) <= 2
+    assert sorted(leg.shard for _, b in batches for leg in b.legs) == list(range(20))
+
+
+def test_complete_answer_is_sent_as_soon_as_the_last_shard_answers():
+    harness = Harness()
+    answer = get_answer(harness.answer(harness.begin(), 0.01))
+    assert answer.outcome is Outcome.ANSWERED
+    assert (answer.n_covered, answer.n_shards, answer.missing) == (20, 20, ())
+    assert harness.searches.is_idle
+
+
+def test_outcome_of_another_index_version_is_not_counted():
+    harness = Harness()
+    effects = harness.answer(harness.begin(), 0.01, version=2)
+    assert not has_answer(effects)
+
+
+def test_doubled_outcomes_count_each_shard_once():
+    harness = Harness()
+    begun = harness.begin()
+    harness.answer(begun, 0.01, except_shards={3})
+    harness.answer(begun, 0.02, except_shards={3})
+    answer = get_answer(harness.searches.timer("searches:q", 0.2))
+    assert (answer.n_covered, answer.missing) == (19, (3,))
+
+
+def test_outcome_from_a_node_that_was_not_asked_is_dropped():
+    harness = Harness()
+    for _, batch in list_batches(harness.begin()):
+        outcomes = tuple(build_outcome(batch, leg) for leg in batch.legs)
+        effects = harness.searches.results("stranger", LegResults("q", outcomes), 0.01)
+        assert not has_answer(effects)
+
+
+def test_late_outcome_after_the_answer_is_dropped():
+    harness = Harness()
+    begun = harness.begin()
+    harness.searches.timer("searches:q", 0.2)
+    assert not has_answer(harness.answer(begun, 0.3))
+
+
+def test_late_leg_is_hedged_at_the_other_replica_and_the_loser_is_cancelled():
+    harness = Harness()
+    for number in range(3):
+        harness.answer(harness.begin(0.0, f"warm-{number}"), 0.001)
+    begun = harness.begin(1.0)
+    harness.answer(begun, 1.005, except_shards={3})
+    hedges = harness.searches.timer("searches:q", 1.1)
+    ((_, batch),) = list_batches(hedges)
+    (leg,) = batch.legs
+    assert leg.shard == 3
+    first = [leg for _, b in list_batches(begun) for leg in b.legs if leg.shard == 3]
+    assert leg.upstream != first[0].upstream
+    effects = harness.answer(hedges, 1.105)
+    assert get_answer(effects).outcome is Outcome.ANSWERED
+    assert [cancel.leg_ids for cancel in list_cancels(effects)] == [(first[0].leg_id,)]
+
+
+def test_hedges_stay_within_the_budget_when_everything_is_slow():
+    harness = Harness()
+    n_hedged = 0
+    for number in range(100):
+        harness.begin(float(number), f"q{number}")
+        effects = harness.searches.timer(f"searches:q{number}", number + 0.1)
+        n_hedged += sum(len(batch.legs) for _, batch in list_batches(effects))
+        harness.searches.timer(f"searches:q{number}", number + 0.3)
+    assert 0 < n_hedged <= 0.02 * 100 * 20
+
+
+def test_refused_leg_is_retried_at_the_other_replica_at_once():
+    harness = Harness()
+    begun = harness.begin()
+    again = harness.answer(begun, 0.01, status=LegStatus.SHED)
+    first = {leg.shard: leg.upstream for _, b in list_batches(begun) for leg in b.legs}
+    second = {leg.shard: leg.upstream for _, b in list_batches(again) for leg in b.legs}
+    assert second.keys() == first.keys()
+    assert all(second[shard] != first[shard] for shard in first)
+
+
+def test_lost_owner_is_replaced_at_once():
+    harness = Harness()
+    harness.begin()
+    harness.members.dead.add("node-two")
+    effects = harness.searches.peer_lost("node-two", 0.01)
+    assert {node for node, _ in list_batches(effects)} <= {"node-one"}
+
+
+def test_drained_data_centre_gets_no_legs():
+    harness = Harness()
+    harness.documents.drains = Drains(frozenset({"two"}))
+    assert {node for node, _ in list_batches(harness.begin())} == {"node-one"}
+
+
+def test_query_moves_once_to_the_newer_snapshot_and_never_mixes():
+    harness = Harness()
+    begun = harness.begin()
+    harness.answer(begun, 0.01, except_shards={0, 1})
+    harness.documents.declarations = build_declarations(version=2)
+    kept = [
+        (node, batch, leg)
+        for node, batch in list_batches(begun)
+        for leg in batch.legs
+        if leg.shard == 0
+    ]
+    ((node, batch, leg),) = kept
+    gone = LegResults("q", (build_outcome(batch, leg, LegStatus.GONE),))
+    moved = harness.searches.results(node, gone, 0.02)
+    assert {batch.version for _, batch in list_batches(moved)} == {2}
+    assert not has_answer(harness.answer(begun, 0.03))
+    answer = get_answer(harness.answer(moved, 0.04))
+    assert (answer.outcome, answer.version) == (Outcome.ANSWERED, 2)
+
+
+def test_refusal_is_not_run_only_when_no_leg_may_have_started():
+    harness = Harness()
+    harness.members.dead.update({"node-one", "node-two"})
+    harness.begin()
+    answer = get_answer(harness.searches.timer("searches:q", 0.2))
+    assert answer.outcome is Outcome.NOT_RUN
+
+
+def test_unanswered_legs_at_the_deadline_are_not_called_not_run():
+    harness = Harness()
+    harness.begin()
+    answer = get_answer(harness.searches.timer("searches:q", 0.2))
+    assert answer.outcome is Outcome.PARTIAL
+    assert answer.n_covered == 0
+
+
+@pytest.mark.parametrize(("weigh", "early"), [(Weigh.TAIL, 1), (Weigh.COVERAGE, 0)])
+def test_only_a_tail_weighted_service_settles_early(weigh, early):
+    harness = Harness(weigh=weigh)
+    harness.answer(harness.begin(), 0.01, except_shards={3})
+    assert has_answer(harness.searches.timer("searches:q", 0.16)) == bool(early)
+
+
+def test_thin_answer_says_that_it_is_below_the_least_coverage():
+    harness = Harness(least_coverage=0.9)
+    harness.answer(harness.begin(), 0.01, except_shards=set(range(10)))
+    answer = get_answer(harness.searches.timer("searches:q", 0.2))
+    assert (answer.outcome, answer.reason) == (
+        Outcome.PARTIAL,
+        "below least coverage",
+    )
+
+
+def test_open_query_always_has_a_timer_and_an_answered_one_none():
+    harness = Harness()
+    begun = harness.begin()
+    assert any(isinstance(effect, SetTimer) for effect in begun)
+    assert any(isinstance(e, CancelTimer) for e in harness.answer(begun, 0.01))
