--- a/src/heatherpick/_commands/__init__.py
+++ b/src/heatherpick/_commands/__init__.py
@@ -1,1 +1,24 @@
-"""Private package; newcomers need not open it."""
+"""Private package; the subcommands of the program, one a module."""
+
+from heatherpick._commands.check import CheckCommand
+from heatherpick._commands.diff import DiffCommand
+from heatherpick._commands.drain import DrainCommand
+from heatherpick._commands.node import NodeCommand
+from heatherpick._commands.publish import PublishCommand
+from heatherpick._commands.query import QueryCommand
+from heatherpick._commands.status import StatusCommand
+from heatherpick._commands.undrain import UndrainCommand
+
+__all__ = ["COMMANDS"]
+
+#: Every `Command`, in the order in which ``--help`` lists them.
+COMMANDS = (
+    NodeCommand(),
+    CheckCommand(),
+    DiffCommand(),
+    PublishCommand(),
+    DrainCommand(),
+    UndrainCommand(),
+    StatusCommand(),
+    QueryCommand(),
+)
--- /dev/null
+++ b/src/heatherpick/_commands/arguments.py
@@ -0,0 +1,91 @@
+"""Arguments that several commands share."""
+
+import argparse
+from functools import partial
+
+from returns.result import Success
+
+from heatherpick._ini.values import AddressValue, NumberValue
+
+__all__ = [
+    "add_confirmation",
+    "add_node",
+    "add_paths",
+    "add_platform",
+    "build_number",
+    "parse_address",
+]
+
+DEFAULT_WAIT_MS = 10_000
+MAX_WAIT_MS = 3_600_000
+
+_ADDRESS = AddressValue()
+
+
+def add_paths(parser):
+    """Add the files of a set of declarations."""
+    parser.add_argument(
+        "paths",
+        metavar="PATH",
+        nargs="+",
+        help="INI file, or directory whose *.ini files are taken",
+    )
+
+
+def add_platform(parser):
+    """Add the platform's address."""
+    parser.add_argument(
+        "--platform",
+        metavar="IP:PORT",
+        required=True,
+        type=parse_address,
+        help="address of the platform's object service",
+    )
+
+
+def add_node(parser):
+    """Add a node's address."""
+    parser.add_argument(
+        "--node",
+        metavar="IP:PORT",
+        required=True,
+        type=parse_address,
+        help="address at which the node serves callers",
+    )
+
+
+def add_confirmation(parser):
+    """Add the nodes that must have a new version before the command ends."""
+    parser.add_argument(
+        "--nodes",
+        metavar="IP:PORT",
+        nargs="+",
+        default=[],
+        type=parse_address,
+        help="wait until these nodes have the new version",
+    )
+    parser.add_argument(
+        "--wait-ms",
+        metavar="MS",
+        default=DEFAULT_WAIT_MS,
+        type=build_number(0, MAX_WAIT_MS),
+        help="time to wait for --nodes (default: %(default)s)",
+    )
+
+
+def build_number(minimum, maximum):
+    """Return a function by which argparse reads a number within bounds."""
+    return partial(_parse, NumberValue(minimum, maximum))
+
+
+def parse_address(text):
+    """Return ``text`` if it is ``ip:port``, else fail as argparse wants it."""
+    return _parse(_ADDRESS, text)
+
+
+def _parse(value, text):
+    match value.read(text):
+        case Success(read):
+            return read
+        case failure:
+            raise argparse.ArgumentTypeError(failure.failure())
