--- /dev/null
+++ b/src/heatherpick/_shell/codec.py
@@ -0,0 +1,229 @@
+"""Bytes of the messages between nodes: msgpack arrays of a tag and the fields.
+
+Decoding is strict: a frame is either exactly one known message, with every field
+of its declared type, or a `FrameError`. The field types of the message classes are
+read once, at import, and turned into one small function per field.
+"""
+
+from dataclasses import fields, is_dataclass
+from enum import IntEnum
+from math import isfinite
+from operator import attrgetter
+from typing import get_args, get_origin, get_type_hints
+
+import msgpack
+
+from heatherpick._core import messages
+from heatherpick.errors import FrameError
+
+__all__ = ["MAX_FRAME_BYTES", "decode_message", "encode_message"]
+
+#: Largest frame that is sent or accepted, in bytes.
+MAX_FRAME_BYTES = 8 * 1024 * 1024
+
+#: Tags on the wire. A tag is never given to another message.
+_TAGS = {
+    messages.Hello: 1,
+    messages.Heartbeat: 2,
+    messages.LegBatch: 3,
+    messages.LegResults: 4,
+    messages.LegCancel: 5,
+    messages.KeyedCall: 6,
+    messages.KeyedResult: 7,
+    messages.DocumentRequest: 8,
+    messages.DocumentReply: 9,
+}
+
+
+def encode_message(message):
+    """Return the bytes of a message.
+
+    Parameters
+    ----------
+    message : object
+        Instance of one of the message classes.
+
+    Returns
+    -------
+    bytes
+
+    Raises
+    ------
+    FrameError
+        The message is of no known class, holds a value that msgpack cannot
+        carry, or is larger than `MAX_FRAME_BYTES`.
+    """
+    encode = _ENCODERS.get(type(message))
+    if encode is None:
+        raise FrameError(f"{type(message).__name__} is not a message between nodes")
+    try:
+        frame = msgpack.packb((_TAGS[type(message)], *encode(message)))
+    except (TypeError, ValueError, OverflowError) as error:
+        raise FrameError(f"{type(message).__name__} cannot be sent: {error}") from error
+    if len(frame) > MAX_FRAME_BYTES:
+        raise FrameError(
+            f"{type(message).__name__} of {len(frame)} bytes is too large;"
+            f" the limit is {MAX_FRAME_BYTES}"
+        )
+    return frame
+
+
+def decode_message(frame):
+    """Return the message in a frame.
+
+    Parameters
+    ----------
+    frame : bytes
+        One frame, without its length prefix.
+
+    Returns
+    -------
+    object
+        Instance of one of the message classes.
+
+    Raises
+    ------
+    FrameError
+        The bytes are not exactly one known message.
+    """
+    try:
+        values = msgpack.unpackb(frame, use_list=False)
+    except (ValueError, TypeError, msgpack.UnpackException) as error:
+        raise FrameError(f"frame is not msgpack: {error}") from error
+    if type(values) is not tuple or not values or type(values[0]) is not int:
+        raise FrameError("frame does not start with a message tag")
+    decode = _DECODERS.get(values[0])
+    if decode is None:
+        raise FrameError(f"unknown message tag {values[0]}")
+    return decode(values[1:])
+
+
+def _build_encoder(cls):
+    names = [each.name for each in fields(cls)]
+    hints = get_type_hints(cls)
+    nested = {
+        index: encode
+        for index, name in enumerate(names)
+        if (encode := _build_value_encoder(hints[name])) is not None
+    }
+    if len(names) == 1:
+        read = attrgetter(names[0])
+        read_all = lambda message: (read(message),)  # noqa: E731
+    else:
+        read_all = attrgetter(*names)
+    if not nested:
+        return read_all
+
+    def encode(message):
+        values = list(read_all(message))
+        for index, encode_value in nested.items():
+            values[index] = encode_value(values[index])
+        return values
+
+    return encode
+
+
+def _build_value_encoder(hint):
+    """Return a function that msgpack needs before packing, or None for none."""
+    if is_dataclass(hint):
+        return _build_encoder(hint)
+    if get_origin(hint) is tuple and get_args(hint)[-1] is Ellipsis:
+        encode_item = _build_value_encoder(get_args(hint)[0])
+        if encode_item is not None:
+            return lambda values: [encode_item(value) for value in values]
+    return None
+
+
+def _build_decoder(cls):
+    hints = get_type_hints(cls)
+    names = tuple(each.name for each in fields(cls))
+    checks = tuple(_build_check(hints[name]) for name in names)
+    n_fields = len(names)
+
+    def decode(values):
+        if type(values) is not tuple or len(values) != n_fields:
+            raise FrameError(f"{cls.__name__} has {n_fields} fields")
+        try:
+            checked = [
+                check(value) for check, value in zip(checks, values, strict=True)
+            ]
+        except _WrongType as error:
+            raise FrameError(f"{cls.__name__} holds {error}") from error
+        return cls(*checked)
+
+    return decode
+
+
+class _WrongType(Exception):
+    """Raised when a decoded value is not of its field's type."""
+
+
+def _build_check(hint):
+    if is_dataclass(hint):
+        return _build_decoder(hint)
+    if isinstance(hint, type) and issubclass(hint, IntEnum):
+        return _build_enum_check(hint)
+    if hint is float:
+        return _check_float
+    if get_origin(hint) is tuple:
+        return _build_tuple_check(get_args(hint))
+    return _build_type_check(hint)
+
+
+def _build_type_check(expected):
+    def check(value):
+        if type(value) is not expected:
+            raise _WrongType(f"{type(value).__name__} in place of {expected.__name__}")
+        return value
+
+    return check
+
+
+def _check_float(value):
+    if type(value) is int:
+        value = _widen(value)
+    if type(value) is not float or not isfinite(value):
+        raise _WrongType(f"{value!r:.40} in place of a finite number")
+    return value
+
+
+def _widen(value):
+    return float(value)
+
+
+def _build_enum_check(enum):
+    members = {int(member): member for member in enum}
+
+    def check(value):
+        member = members.get(value) if type(value) is int else None
+        if member is None:
+            raise _WrongType(f"{value!r:.40} in place of {enum.__name__}")
+        return member
+
+    return check
+
+
+def _build_tuple_check(args):
+    if args[-1] is Ellipsis:
+        return _build_sequence_check(_build_check(args[0]))
+    checks = tuple(_build_check(arg) for arg in args)
+
+    def check(value):
+        if type(value) is not tuple or len(value) != len(checks):
+            raise _WrongType(f"no tuple of {len(checks)}")
+        return tuple(each(item) for each, item in zip(checks, value, strict=True))
+
+    return check
+
+
+def _build_sequence_check(check_item):
+    def check(value):
+        if type(value) is not tuple:
+            raise _WrongType(f"{type(value).__name__} in place of a tuple")
+        return tuple([check_item(item) for item in value])
+
+    return check
+
+
+_ENCODERS = {cls: _build_encoder(cls) for cls in _TAGS}
+_DECODERS = {tag: _build_decoder(cls) for cls, tag in _TAGS.items()}
--- /dev/null
+++ b/src/heatherpick/_shell/logs.py
@@ -0,0 +1,77 @@
+"""JSON lines through eliot: one action per request, and single messages."""
+
+import sys
+
+from eliot import FileDestination, add_destinations, log_message, start_action
+from twisted.logger import LogLevel, formatEvent, globalLogBeginner
+
+from heatherpick._core.effects import Log
+
+__all__ = ["Logs"]
+
+STDOUT = "-"
+
+
+class Logs:
+    """Writes the log of the process.
+
+    Parameters
+    ----------
+    file : binary file
+        Takes the lines.
+    node : str
+        Name of this node, written in every line.
+    """
+
+    def __init__(self, file, node):
+        self._node = node
+        add_destinations(FileDestination(file=file))
+
+    @classmethod
+    def from_settings(cls, settings):
+        """Return the log at ``settings.log_path``, standard output for "-"."""
+        if settings.log_path == STDOUT:
+            return cls(sys.stdout.buffer, settings.name)
+        return cls(open(settings.log_path, "ab"), settings.name)
+
+    @property
+    def carriers(self):
+        """Dict of effect type to the method that carries it out."""
+        return {Log: lambda effect: self.report(effect.message, **dict(effect.fields))}
+
+    def report(self, message, **fields):
+        """Write one line.
+
+        Parameters
+        ----------
+        message : str
+            What happened.
+        **fields : dict
+            Further values, by name.
+        """
+        log_message(message, node=self._node, **fields)
+
+    def start_request(self, request_id, service):
+        """Start the action of a request and return it; end it by ``finish``."""
+        return start_action(
+            action_type="request",
+            node=self._node,
+            request_id=request_id,
+            service=service,
+        )
+
+    def take_library_faults(self):
+        """Write what twisted reports as a warning or worse."""
+        globalLogBeginner.beginLoggingTo(
+            [self._report_fault], redirectStandardIO=False, discardBuffer=True
+        )
+
+    def _report_fault(self, event):
+        if event.get("log_level", LogLevel.info) < LogLevel.warn:
+            return
+        fault = event.get("log_failure")
+        self.report(
+            "library fault",
+            text=formatEvent(event),
+            error=repr(fault.value) if fault else "",
+        )
--- /dev/null
+++ b/src/heatherpick/_shell/metrics.py
@@ -0,0 +1,154 @@
+"""Counters and latency histograms, shown as Prometheus text."""
+
+from hdrh.histogram import HdrHistogram
+
+from heatherpick._core.effects import Count, Observe
+
+__all__ = ["Metrics"]
+
+#: Different series that are kept; a further label is counted under "other".
+MAX_SERIES = 500
+#: Longest duration that a histogram can tell apart, in microseconds.
+MAX_DURATION_US = 600_000_000
+N_SIGNIFICANT_DIGITS = 2
+US_PER_MS = 1000.0
+PERCENTILES = (50.0, 90.0, 99.0, 99.9)
+PREFIX = "heatherpick"
+OTHER = "other"
+
+
+class Metrics:
+    """Everything that a scraper can read; memory is bounded by `MAX_SERIES`."""
+
+    def __init__(self):
+        self._counters = {}
+        self._histograms = {}
+
+    @property
+    def carriers(self):
+        """Dict of effect type to the method that carries it out."""
+        return {
+            Count: lambda effect: self.count(effect.name, effect.label, effect.amount),
+            Observe: lambda effect: self.observe(
+                effect.name, effect.label, effect.value_ms
+            ),
+        }
+
+    def count(self, name, label="", amount=1):
+        """Add to a counter.
+
+        Parameters
+        ----------
+        name : str
+            Name of the counter.
+        label : str, default=""
+            Reason or kind.
+        amount : int, default=1
+            What to add.
+        """
+        key = self._choose_key(self._counters, name, label)
+        self._counters[key] = self._counters.get(key, 0) + amount
+
+    def observe(self, name, label, value_ms):
+        """Record a duration.
+
+        Parameters
+        ----------
+        name : str
+            Name of the histogram.
+        label : str
+            Reason or kind.
+        value_ms : float
+            Duration in milliseconds.
+        """
+        key = self._choose_key(self._histograms, name, label)
+        recorded = self._histograms.get(key)
+        if recorded is None:
+            recorded = self._histograms[key] = _Durations()
+        recorded.add(value_ms)
+
+    def format(self, gauges=()):
+        """Return all series as Prometheus text.
+
+        Parameters
+        ----------
+        gauges : iterable of (str, float)
+            Names and present values of further series.
+
+        Returns
+        -------
+        str
+        """
+        lines = []
+        self._format_counters(lines)
+        self._format_histograms(lines)
+        for name, value in gauges:
+            lines.append(f"# TYPE {PREFIX}_{name} gauge")
+            lines.append(f"{PREFIX}_{name} {value}")
+        return "\n".join(lines) + "\n"
+
+    def _choose_key(self, series, name, label):
+        key = (name, label)
+        if key in series or len(series) < MAX_SERIES:
+            return key
+        return (name, OTHER)
+
+    def _format_counters(self, lines):
+        previous = None
+        for (name, label), value in sorted(self._counters.items()):
+            full_name = f"{PREFIX}_{_clean(name)}_total"
+            if name != previous:
+                lines.append(f"# TYPE {full_name} counter")
+            previous = name
+            lines.append(f"{full_name}{_format_labels(label)} {value}")
+
+    def _format_histograms(self, lines):
+        previous = None
+        for (name, label), durations in sorted(
+            self._histograms.items(), key=lambda item: item[0]
+        ):
+            full_name = f"{PREFIX}_{_clean(name)}_ms"
+            if name != previous:
+                lines.append(f"# TYPE {full_name} summary")
+            previous = name
+            for percentile, value_ms in durations.read_percentiles():
+                labels = _format_labels(label, f'quantile="{percentile / 100:g}"')
+                lines.append(f"{full_name}{labels} {value_ms:g}")
+            labels = _format_labels(label)
+            lines.append(f"{full_name}_sum{labels} {durations.total_ms:g}")
+            lines.append(f"{full_name}_count{labels} {durations.n_values}")
+
+
+class _Durations:
+    """A histogram with its sum."""
+
+    def __init__(self):
+        self.total_ms = 0.0
+        self.n_values = 0
+        self._histogram = HdrHistogram(1, MAX_DURATION_US, N_SIGNIFICANT_DIGITS)
+
+    def add(self, value_ms):
+        """Record one duration in milliseconds."""
+        value_us = int(value_ms * US_PER_MS)
+        self._histogram.record_value(min(max(1, value_us), MAX_DURATION_US))
+        self.total_ms += value_ms
+        self.n_values += 1
+
+    def read_percentiles(self):
+        """Return pairs of percentile and milliseconds."""
+        values = self._histogram.get_percentile_to_value_dict(PERCENTILES)
+        return [(each, values[each] / US_PER_MS) for each in PERCENTILES]
+
+
+def _clean(name):
+    return "".join(char if char.isalnum() else "_" for char in name)
+
+
+def _format_labels(label, extra=""):
+    parts = []
+    if label:
+        escaped = label.replace("\\", r"\\").replace('"', r"\"").replace("\n", r"\n")
+        parts.append(f'label="{escaped}"')
+    if extra:
+        parts.append(extra)
+    return "{" + ",".join(parts) + "}" if parts else ""
--- /dev/null
+++ b/src/heatherpick/_shell/runtime.py
@@ -0,0 +1,92 @@
+"""The loop that feeds events to the reducer and carries out its effects."""
+
+from collections import deque
+
+from heatherpick._core.effects import SetTimer
+from heatherpick._core.events import TimerFired
+
+__all__ = ["Runtime"]
+
+MS_PER_S = 1000.0
+
+
+class Runtime:
+    """Feeds one event at a time to a reducer and carries out the effects.
+
+    Parameters
+    ----------
+    reducer : object
+        Has ``reduce(event, now)``, which returns a list of effects.
+    clock : IReactorTime
+        Source of the time and of timers.
+    report : callable
+        ``report(message, **fields)`` writes a fault to the log.
+    """
+
+    def __init__(self, reducer, clock, report):
+        self._reducer = reducer
+        self._clock = clock
+        self._report = report
+        self._events = deque()
+        self._busy = False
+        self._timers = {}
+        self._carriers = {SetTimer: self._set_timer}
+
+    def carry(self, carriers):
+        """Add carriers, a dict of effect type to a callable of one effect."""
+        self._carriers.update(carriers)
+
+    def start(self):
+        """Carry out the effects with which the reducer starts."""
+        self._run(lambda: self._reducer.start(self._clock.seconds()), "start")
+
+    def feed(self, event):
+        """Give an event to the reducer.
+
+        An event that an effect causes at once waits until all effects of the
+        present event are carried out, so the reducer never runs inside itself.
+        """
+        self._events.append(event)
+        if not self._busy:
+            self._drain_events()
+
+    def _drain_events(self):
+        while self._events:
+            event = self._events.popleft()
+            self._run(lambda event=event: self._reduce(event), event)
+
+    def _reduce(self, event):
+        return self._reducer.reduce(event, self._clock.seconds())
+
+    def _run(self, produce, cause):
+        was_busy = self._busy
+        self._busy = True
+        try:
+            self._carry_out_all(produce())
+        except Exception as error:
+            self._report("reducer failed", cause=repr(cause), error=repr(error))
+        finally:
+            self._busy = was_busy
+        if not was_busy:
+            self._drain_events()
+
+    def _carry_out_all(self, effects):
+        for effect in effects:
+            try:
+                self._carriers[type(effect)](effect)
+            except Exception as error:
+                self._report("effect failed", cause=repr(effect), error=repr(error))
+
+    def _set_timer(self, effect):
+        delay_s = max(0.0, effect.after_ms) / MS_PER_S
+        timer = self._timers.get(effect.name)
+        if timer is not None:
+            timer.reset(delay_s)
+            return
+        self._timers[effect.name] = self._clock.callLater(
+            delay_s, self._fire, effect.name
+        )
+
+    def _fire(self, name):
+        del self._timers[name]
+        self.feed(TimerFired(name))
--- /dev/null
+++ b/src/heatherpick/_shell/upstreams.py
@@ -0,0 +1,104 @@
+"""Calls to upstreams over HTTP, each answered by exactly one event."""
+
+import orjson
+
+from heatherpick._core.effects import CallOrder, CallUpstream, CancelCall
+from heatherpick._shell.answers import read_legs_answer, read_order_answer
+from heatherpick._shell.exchanges import ExchangePool
+
+__all__ = ["Upstreams"]
+
+MS_PER_S = 1000.0
+
+
+class Upstreams:
+    """Carries out calls of legs and of orders.
+
+    Parameters
+    ----------
+    feed : callable
+        Takes an event.
+    reactor : IReactorTCP and IReactorTime
+        Opens connections and keeps the time.
+    """
+
+    def __init__(self, feed, reactor):
+        self._feed = feed
+        self._clock = reactor
+        self._leg_pool = ExchangePool(reactor)
+        # A kept connection may be closing when an order is written to it, and the
+        # outcome would be unknown. A new connection either takes the order or
+        # proves that nothing was sent.
+        self._order_pool = ExchangePool(reactor, persistent=False)
+        self._exchanges = {}
+
+    @property
+    def carriers(self):
+        """Dict of effect type to the method that carries it out."""
+        return {
+            CallUpstream: self._call_legs,
+            CallOrder: self._call_order,
+            CancelCall: self._cancel,
+        }
+
+    def close(self):
+        """Close the idle connections."""
+        return self._leg_pool.close()
+
+    def _call_legs(self, effect):
+        started = self._clock.seconds()
+        legs = [
+            {
+                "id": leg.index,
+                "shard": leg.spec.shard,
+                "version": leg.version,
+                "query": orjson.Fragment(leg.query),
+            }
+            for leg in effect.legs
+        ]
+        body = orjson.dumps({"deadline_ms": effect.timeout_ms, "legs": legs})
+
+        def finish(result):
+            elapsed_ms = self._end(effect.call_id, started)
+            self._feed(
+                read_legs_answer(effect.call_id, effect.legs, result, elapsed_ms)
+            )
+
+        traceparent = effect.legs[0].traceparent if effect.legs else ""
+        self._begin(self._leg_pool, effect, b"/v1/legs", body, traceparent, finish)
+
+    def _call_order(self, effect):
+        started = self._clock.seconds()
+        body = orjson.dumps(
+            {
+                "key": effect.key,
+                "order": orjson.Fragment(effect.body),
+                "deadline_ms": effect.timeout_ms,
+            }
+        )
+
+        def finish(result):
+            elapsed_ms = self._end(effect.call_id, started)
+            self._feed(read_order_answer(effect.call_id, result, elapsed_ms))
+
+        self._begin(
+            self._order_pool, effect, b"/v1/orders", body, effect.traceparent, finish
+        )
+
+    def _begin(self, pool, effect, path, body, traceparent, finish):
+        headers = {b"traceparent": traceparent.encode()} if traceparent else {}
+        timeout_s = max(0.0, effect.timeout_ms) / MS_PER_S
+        # The mark stands before the call, as a kept connection may fail at once.
+        self._exchanges[effect.call_id] = None
+        exchange = pool.post(effect.address, path, headers, body, timeout_s, finish)
+        if effect.call_id in self._exchanges:
+            self._exchanges[effect.call_id] = exchange
+
+    def _end(self, call_id, started):
+        del self._exchanges[call_id]
+        return (self._clock.seconds() - started) * MS_PER_S
+
+    def _cancel(self, effect):
+        exchange = self._exchanges.get(effect.call_id)
+        if exchange is not None:
+            exchange.cancel()
