A call, a peer and a request that cannot be used each end by their event

Cause: an unusable address raised inside an effect, so its CallEnded never came; a query to a service of orders reached the reducer. Change: the fault becomes a NOT_SENT outcome or PeerLost, and the kind is checked against the service.

--- a/src/heatherpick/_shell/callers.py
+++ b/src/heatherpick/_shell/callers.py
@@ -18,6 +18,7 @@
     check_content,
     check_deadline,
     check_key,
+    check_kind,
     check_traceparent,
 )
 from heatherpick.errors import InvalidArgument
@@ -70,10 +71,9 @@
         Takes an event.
     clock : IReactorTime
         Source of the time.
-    has_service : callable
-        Tells by name whether a service is declared.
-    describe : callable
-        Returns the node's status as a dict.
+    catalogue : object
+        Has ``has_service(name)``, ``is_repeatable(name)`` of a declared service and
+        ``describe(now)``, the node's status as a dict.
     metrics : Metrics
         Where answers are counted and shown from.
     tracer : Tracer
@@ -84,11 +84,10 @@
 
     app = Klein()
 
-    def __init__(self, feed, clock, has_service, describe, metrics, tracer, logs):
+    def __init__(self, feed, clock, catalogue, metrics, tracer, logs):
         self._feed = feed
         self._clock = clock
-        self._has_service = has_service
-        self._describe = describe
+        self._catalogue = catalogue
         self._metrics = metrics
         self._tracer = tracer
         self._logs = logs
@@ -116,6 +115,7 @@
             self.app.resource(),
             requestFactory=partial(CappedRequest, max_body_bytes=max_body_bytes),
             timeout=IDLE_TIMEOUT_S,
+            reactor=self._clock,
         )
         site.displayTracebacks = False
         site.noisy = False
@@ -124,12 +124,10 @@
     @app.route("/v1/services/<service>", methods=["POST"])
     def serve(self, request, service):
         """Take a search or an order."""
-        if not self._has_service(service):
-            self._metrics.count("bad_requests", "unknown service")
-            return _write_json(
-                request, HTTP_NOT_FOUND, {"error": f"service: {service!r:.80} unknown"}
-            )
+        if not self._catalogue.has_service(service):
+            return self._refuse_service(request, service)
         kind, body = check_content(request.content.read())
+        check_kind(kind, service, self._catalogue.is_repeatable(service))
         event = RequestArrived(
             request_id=secrets.token_hex(N_ID_BYTES),
             service=service,
@@ -149,7 +147,9 @@
     @app.route("/-/status", methods=["GET"])
     def show_status(self, request):
         """Show what the node knows."""
-        return _write_json(request, HTTP_OK, self._describe())
+        return _write_json(
+            request, HTTP_OK, self._catalogue.describe(self._clock.seconds())
+        )
 
     @app.route("/-/metrics", methods=["GET"])
     def show_metrics(self, request):
@@ -169,6 +169,16 @@
         """Answer a request to an unknown path or by a wrong method."""
         return _write_json(request, failure.value.code, {"error": failure.value.name})
 
+    def _refuse_service(self, request, service):
+        # A node that has no declarations yet cannot tell which services exist.
+        if not self._is_ready:
+            self._metrics.count("refusals", "not ready")
+            not_run = {"outcome": _WORDS[Outcome.NOT_RUN], "reason": "not ready"}
+            return _write_json(request, HTTP_UNAVAILABLE, not_run)
+        self._metrics.count("bad_requests", "unknown service")
+        unknown = {"error": f"service: {service!r:.80} is not declared"}
+        return _write_json(request, HTTP_NOT_FOUND, unknown)
+
     def _start(self, request, event):
         span, traceparent = self._tracer.start_request(
             event.traceparent, event.service, event.request_id
--- a/src/heatherpick/_shell/checks.py
+++ b/src/heatherpick/_shell/checks.py
@@ -10,6 +10,7 @@
     "check_content",
     "check_deadline",
     "check_key",
+    "check_kind",
     "check_traceparent",
 ]
 
@@ -71,6 +72,28 @@
         raise InvalidArgument(f"{kind}: {error}; nest it less deeply") from error
 
 
+def check_kind(kind, service, repeatable):
+    """Raise unless a service takes requests of this kind.
+
+    Parameters
+    ----------
+    kind : str
+        ``"query"`` or ``"order"``.
+    service : str
+        Name of the service.
+    repeatable : bool
+        Whether the service takes queries, which may run more than once.
+
+    Raises
+    ------
+    InvalidArgument
+        A query goes to a service of orders, or the reverse.
+    """
+    expected = "query" if repeatable else "order"
+    if kind != expected:
+        raise InvalidArgument(f"{kind}: service {service!r} takes {expected!r} instead")
+
+
 def check_deadline(text):
     """Return a deadline in milliseconds, or None where the header is absent.
 
--- a/src/heatherpick/_shell/exchanges.py
+++ b/src/heatherpick/_shell/exchanges.py
@@ -9,6 +9,7 @@
 
 from twisted.internet.defer import succeed
 from twisted.internet.protocol import Protocol
+from twisted.web._newclient import RequestNotSent
 from twisted.web.client import HTTPConnectionPool, Request, ResponseDone
 from twisted.web.http_headers import Headers
 from twisted.web.iweb import IBodyProducer
@@ -25,6 +26,7 @@
 IDLE_TIMEOUT_S = 60
 #: Largest answer that is read, in bytes.
 MAX_ANSWER_BYTES = 8 * 1024 * 1024
+TIMEOUT = "timeout"
 
 
 @dataclass(frozen=True, slots=True)
@@ -117,7 +119,7 @@
 
     def begin(self, pool, address, endpoint, timeout_s):
         """Ask for a connection and start the time limit."""
-        self._timer = self._clock.callLater(timeout_s, self._give_up, "timeout")
+        self._timer = self._clock.callLater(timeout_s, self._give_up, TIMEOUT)
         self._connecting = pool.getConnection(address, endpoint)
         self._connecting.addCallbacks(self._send, self._fail_to_connect)
 
@@ -130,7 +132,7 @@
             return
         connection = self._connection
         if connection is None:
-            self._end(ExchangeFailure(False, "connect"))
+            self._end(ExchangeFailure(False, _name_connect_fault(reason)))
             self._connecting.cancel()
             return
         self._end(ExchangeFailure(True, reason))
@@ -150,8 +152,12 @@
     def _receive(self, response):
         response.deliverBody(_BodyReader(response.code, self._finish))
 
-    def _fail_after_send(self, _failure):
-        self._end(ExchangeFailure(True, "broken"))
+    def _fail_after_send(self, failure):
+        # The protocol refuses before it writes a byte when it is already closing.
+        if failure.check(RequestNotSent):
+            self._end(ExchangeFailure(False, "connect"))
+        else:
+            self._end(ExchangeFailure(True, "broken"))
 
     def _finish(self, result):
         connection = self._connection
@@ -195,6 +201,10 @@
             self._finish(ExchangeFailure(True, "broken"))
 
 
+def _name_connect_fault(reason):
+    return "connect" if reason == TIMEOUT else reason
+
+
 def _is_whole(reason):
     # A body without a length or chunks ends with `PotentialDataLoss`; it cannot be
     # told from a truncated one.
--- a/src/heatherpick/_shell/node.py
+++ b/src/heatherpick/_shell/node.py
@@ -120,15 +120,7 @@
         hello = Hello(
             settings.name, incarnation, settings.data_centre, settings.peer_address
         )
-        callers = Callers(
-            feed,
-            reactor,
-            reducer.has_service,
-            lambda: reducer.describe(reactor.seconds()),
-            metrics,
-            tracer,
-            logs,
-        )
+        callers = Callers(feed, reactor, reducer, metrics, tracer, logs)
         peers = Peers(feed, hello, reactor, metrics.count, logs.report, seed)
         upstreams = Upstreams(feed, reactor)
         platform = Platform(
--- a/src/heatherpick/_shell/peers.py
+++ b/src/heatherpick/_shell/peers.py
@@ -12,7 +12,7 @@
 from heatherpick._core.messages import Hello
 from heatherpick._shell.addresses import build_endpoint
 from heatherpick._shell.codec import MAX_FRAME_BYTES, decode_message, encode_message
-from heatherpick.errors import FrameError
+from heatherpick.errors import FrameError, InvalidArgument
 
 __all__ = ["Peers"]
 
@@ -302,7 +302,13 @@
             if link.address == effect.address:
                 return
             link.close()
-        link = _Link(self, effect.node, effect.address)
+        try:
+            link = _Link(self, effect.node, effect.address)
+        except InvalidArgument as error:
+            self._links.pop(effect.node, None)
+            self.report("peer address unusable", node=effect.node, error=str(error))
+            self.feed(PeerLost(effect.node))
+            return
         self._links[effect.node] = link
         link.open()
 
--- a/src/heatherpick/_shell/platform.py
+++ b/src/heatherpick/_shell/platform.py
@@ -1,6 +1,7 @@
 """The platform's object API over HTTP: objects, the watch and the list of VMs."""
 
 from random import Random
+from urllib.parse import quote
 
 import orjson
 from treq.client import HTTPClient
@@ -106,7 +107,7 @@
         return ObjectFailed(effect.token, effect.name, sent)
 
     async def _read_object(self, effect):
-        status, content = await self._call("GET", f"/v1/objects/{effect.name}")
+        status, content = await self._call("GET", _build_path(effect.name))
         if status == HTTP_NOT_FOUND:
             return ObjectRead(effect.token, effect.name, 0, "")
         if status != HTTP_OK:
@@ -117,7 +118,7 @@
     async def _write_object(self, effect):
         status, content = await self._call(
             "PUT",
-            f"/v1/objects/{effect.name}",
+            _build_path(effect.name),
             headers={"If-Match": str(effect.expected)},
             data=orjson.dumps({"body": effect.body}),
         )
@@ -200,6 +201,10 @@
         return pausing
 
 
+def _build_path(name):
+    return f"/v1/objects/{quote(name)}"
+
+
 def _parse(text):
     try:
         content = orjson.loads(text)
--- a/src/heatherpick/_shell/upstreams.py
+++ b/src/heatherpick/_shell/upstreams.py
@@ -4,7 +4,8 @@
 
 from heatherpick._core.effects import CallOrder, CallUpstream, CancelCall
 from heatherpick._shell.answers import read_legs_answer, read_order_answer
-from heatherpick._shell.exchanges import ExchangePool
+from heatherpick._shell.exchanges import ExchangeFailure, ExchangePool
+from heatherpick.errors import InvalidArgument
 
 __all__ = ["Upstreams"]
 
@@ -47,16 +48,6 @@
 
     def _call_legs(self, effect):
         started = self._clock.seconds()
-        legs = [
-            {
-                "id": leg.index,
-                "shard": leg.spec.shard,
-                "version": leg.version,
-                "query": orjson.Fragment(leg.query),
-            }
-            for leg in effect.legs
-        ]
-        body = orjson.dumps({"deadline_ms": effect.timeout_ms, "legs": legs})
 
         def finish(result):
             elapsed_ms = self._end(effect.call_id, started)
@@ -65,32 +56,28 @@
             )
 
         traceparent = effect.legs[0].traceparent if effect.legs else ""
-        self._begin(self._leg_pool, effect, b"/v1/legs", body, traceparent, finish)
+        self._begin(self._leg_pool, effect, _build_legs, traceparent, finish)
 
     def _call_order(self, effect):
         started = self._clock.seconds()
-        body = orjson.dumps(
-            {
-                "key": effect.key,
-                "order": orjson.Fragment(effect.body),
-                "deadline_ms": effect.timeout_ms,
-            }
-        )
 
         def finish(result):
             elapsed_ms = self._end(effect.call_id, started)
             self._feed(read_order_answer(effect.call_id, result, elapsed_ms))
 
-        self._begin(
-            self._order_pool, effect, b"/v1/orders", body, effect.traceparent, finish
-        )
+        self._begin(self._order_pool, effect, _build_order, effect.traceparent, finish)
 
-    def _begin(self, pool, effect, path, body, traceparent, finish):
+    def _begin(self, pool, effect, build, traceparent, finish):
         headers = {b"traceparent": traceparent.encode()} if traceparent else {}
         timeout_s = max(0.0, effect.timeout_ms) / MS_PER_S
         # The mark stands before the call, as a kept connection may fail at once.
         self._exchanges[effect.call_id] = None
-        exchange = pool.post(effect.address, path, headers, body, timeout_s, finish)
+        try:
+            path, body = build(effect)
+            exchange = pool.post(effect.address, path, headers, body, timeout_s, finish)
+        except (InvalidArgument, orjson.JSONEncodeError):
+            finish(ExchangeFailure(sent=False, reason="unusable call"))
+            return
         if effect.call_id in self._exchanges:
             self._exchanges[effect.call_id] = exchange
 
@@ -102,3 +89,26 @@
         exchange = self._exchanges.get(effect.call_id)
         if exchange is not None:
             exchange.cancel()
+
+
+def _build_legs(effect):
+    legs = [
+        {
+            "id": leg.index,
+            "shard": leg.spec.shard,
+            "version": leg.version,
+            "query": orjson.Fragment(leg.query),
+        }
+        for leg in effect.legs
+    ]
+    content = {"deadline_ms": effect.timeout_ms, "legs": legs}
+    return b"/v1/legs", orjson.dumps(content)
+
+
+def _build_order(effect):
+    content = {
+        "key": effect.key,
+        "order": orjson.Fragment(effect.body),
+        "deadline_ms": effect.timeout_ms,
+    }
+    return b"/v1/orders", orjson.dumps(content)
