--- a/src/heatherpick/_shell/answers.py
+++ b/src/heatherpick/_shell/answers.py
@@ -157,20 +157,24 @@
     """Return what is wrong with the answer of one leg, or ""."""
     if answer is None:
         return "missing"
-    if answer.get("status") not in _LEG_STATUSES:
+    status, shard = answer.get("status"), answer.get("shard")
+    if type(status) is not str or status not in _LEG_STATUSES:
         return "malformed status"
-    if answer.get("shard") != leg.spec.shard:
+    if type(shard) is not int or shard != leg.spec.shard:
         return "wrong shard"
     if type(answer.setdefault("version", 0)) is not int:
         return "malformed version"
-    if answer["status"] != "answered":
+    if status != "answered":
         return ""
-    hits = answer.get("hits")
-    if type(hits) is not list or type(answer.get("n_hits")) is not int:
+    return _find_fault_of_hits(answer.get("hits"), answer.get("n_hits"))
+
+
+def _find_fault_of_hits(hits, n_hits):
+    if type(hits) is not list or type(n_hits) is not int:
+        return "malformed hits"
+    if any(type(hit) is not dict for hit in hits):
         return "malformed hits"
-    if answer["n_hits"] != len(hits):
-        return "truncated"
-    return ""
+    return "" if n_hits == len(hits) else "truncated"
 
 
 def _read_receipt(content):
--- a/src/heatherpick/_shell/codec.py
+++ b/src/heatherpick/_shell/codec.py
@@ -181,16 +181,12 @@
 
 def _check_float(value):
     if type(value) is int:
-        value = _widen(value)
+        value = float(value)
     if type(value) is not float or not isfinite(value):
         raise _WrongType(f"{value!r:.40} in place of a finite number")
     return value
 
 
-def _widen(value):
-    return float(value)
-
-
 def _build_enum_check(enum):
     members = {int(member): member for member in enum}
 
