Owner's admission: queue, slots and ramp of each upstream

An owner is the only node that sends to its upstreams, so slots, cold start, batching and shedding are exact and in memory.

Cause: per-node fractions of 2-4 slots are less than one each. Change: Admission with LegQueue (priority, deadline), Ramp (automat: cold, ramping, ready, backing off, judged by answers only), UpstreamSlots, one deadline timer, outcomes of one event gathered per query. Work other than legs takes slots by reserve_slot and SlotUser. Stateful proof not yet written.

--- /dev/null
+++ b/src/heatherpick/_core/admission.py
@@ -0,0 +1,510 @@
+"""The owner's part: which legs go to which upstream, when, and which never."""
+
+from itertools import count
+
+from heatherpick._core.deadlines import DeadlineIndex
+from heatherpick._core.effects import (
+    CalledLeg,
+    CallUpstream,
+    CancelCall,
+    Count,
+    EndSpan,
+    Observe,
+)
+from heatherpick._core.messages import LegOutcome, LegStatus
+from heatherpick._core.outcomes import OutcomeList
+from heatherpick._core.queues import QueuedLeg, clamp_priority
+from heatherpick._core.slots import (
+    N_QUEUED_LEGS,
+    UpstreamCall,
+    UpstreamSlots,
+)
+
+__all__ = ["Admission"]
+
+#: Longest time that a leg may ask for, in milliseconds.
+LONGEST_REMAINING_MS = 60_000.0
+
+DEADLINE_TIMER = "admission:deadlines"
+
+#: Statuses that show an upstream at work, whatever it said of one leg.
+_ANSWERS = frozenset({LegStatus.ANSWERED, LegStatus.GONE})
+
+#: Last digits of a W3C trace context whose sampled flag is set.
+_SAMPLED = frozenset("13579bdf")
+
+
+class Admission:
+    """Queues, slots and ramps of the upstreams that this node owns.
+
+    Parameters
+    ----------
+    node_name : str
+        Name of this node.
+    documents : Documents
+        Gives ``declarations`` and ``drains``.
+    members : Members
+        Gives ``owner_of(group, now)`` and ``share_of(group, now)``.
+    """
+
+    def __init__(self, node_name, documents, members):
+        self._node_name = node_name
+        self._documents = documents
+        self._members = members
+        self._declarations = documents.declarations
+        self._drains = documents.drains
+        self._slots = {}
+        self._calls = {}
+        # Even ids here and odd ones for orders keep calls of both kinds apart.
+        self._call_ids = count(2, 2)
+        self._open_legs = {}
+        self._deadlines = DeadlineIndex(DEADLINE_TIMER)
+        self._is_leaving = False
+
+    @classmethod
+    def from_parts(cls, node_name, documents, members):
+        """Return the admission of a node that owns nothing yet."""
+        return cls(node_name, documents, members)
+
+    def accept(self, source_node, batch, now):
+        """Take in a `LegBatch` of ``source_node``; returns effects."""
+        effects = self._refresh(now)
+        outcomes = OutcomeList()
+        legs, touched = self._queue_legs(source_node, batch, outcomes, effects, now)
+        for slots, allowance in touched.items():
+            self._send_waiting(slots, allowance, outcomes, effects, now)
+        if any(leg.is_open for leg in legs):
+            effects += self._deadlines.add(legs, legs[0].deadline, now)
+        return effects + outcomes.build_effects()
+
+    def cancel(self, source_node, message, now):
+        """Drop legs that a `LegCancel` names; returns effects."""
+        open_legs = self._open_legs.get((source_node, message.request_id))
+        if open_legs is None:
+            return []
+        legs = [open_legs[each] for each in message.leg_ids if each in open_legs]
+        return self._end_legs(dict.fromkeys(legs), "cancelled")
+
+    def end_call(self, event, now):
+        """Take in a `CallEnded`; returns effects."""
+        effects = self._refresh(now)
+        call = self._calls.pop(event.call_id, None)
+        if call is None:
+            return [*effects, Count("calls_strange", "unknown call")]
+        slots = call.slots
+        slots.n_in_flight -= 1
+        outcomes = OutcomeList()
+        statuses = self._report_call(call, event, outcomes, effects)
+        self._judge_call(call, event, statuses, now)
+        effects.append(Observe("upstream_call_ms", slots.group, event.elapsed_ms))
+        effects += _build_spans(call, statuses, now)
+        self._pump(slots, outcomes, effects, now)
+        return effects + outcomes.build_effects()
+
+    def timer(self, name, now):
+        """Report the legs whose deadline has passed; returns effects."""
+        due, effects = self._deadlines.pop_due(now)
+        legs = [leg for each in due for leg in each if leg.is_open]
+        for leg in legs:
+            if leg.call is not None:
+                leg.call.is_late = True
+        return effects + self._end_legs(legs, "deadline")
+
+    def source_lost(self, node, now):
+        """Drop the legs of a node to which no outcome can go; returns effects."""
+        keys = [key for key in self._open_legs if key[0] == node]
+        legs = [leg for key in keys for leg in self._open_legs[key].values()]
+        effects = []
+        for leg in legs:
+            self._close_leg(leg)
+            effects += self._cancel_if_idle(leg.call)
+        if legs:
+            effects.append(Count("legs_dropped", "source lost", len(legs)))
+        return effects
+
+    def documents_changed(self, now):
+        """Put new declarations and drains in force; returns effects."""
+        self._declarations = self._documents.declarations
+        self._drains = self._documents.drains
+        effects = []
+        outcomes = OutcomeList()
+        for name, slots in list(self._slots.items()):
+            self._declare(slots, now)
+            if slots.refusal:
+                self._refuse_waiting(slots, slots.refusal, outcomes, effects, now)
+            if slots.refusal == "unknown upstream" and slots.n_in_flight == 0:
+                del self._slots[name]
+        return effects + outcomes.build_effects()
+
+    def begin_leaving(self, now):
+        """Start nothing any more; what waits goes back unsent; returns effects."""
+        self._is_leaving = True
+        effects = []
+        outcomes = OutcomeList()
+        for slots in self._slots.values():
+            self._refuse_waiting(slots, "leaving", outcomes, effects, now)
+        return effects + outcomes.build_effects()
+
+    def is_idle(self):
+        """Return whether nothing waits and nothing is in flight."""
+        return not any(
+            slots.n_in_flight or slots.queue.n_open or slots.users
+            for slots in self._slots.values()
+        )
+
+    def describe(self, now):
+        """Return an `UpstreamStatus` for each upstream that had work here."""
+        return tuple(slots.describe(now) for slots in self._slots.values())
+
+    def reserve_slot(self, upstream, user, now):
+        """Take a slot for a `SlotUser`, now or before any leg; returns effects."""
+        effects = self._refresh(now)
+        slots = self._slots_of(upstream, now)
+        refusal = self._refusal_of(slots)
+        allowance, reason = (0, refusal) if refusal else self._allowance(slots, now)
+        if not allowance:
+            return effects + user.refused(reason, now)
+        slots.users.append(user)
+        self._send_waiting(slots, allowance, OutcomeList(), effects, now)
+        return effects
+
+    def withdraw_slot(self, upstream, user):
+        """Forget a `SlotUser` that still waits."""
+        slots = self._slots.get(upstream)
+        if slots is not None and user in slots.users:
+            slots.users.remove(user)
+
+    def release_slot(self, upstream, event, started, now):
+        """Give back the slot of a granted user whose `OrderEnded` came."""
+        slots = self._slots[upstream]
+        slots.n_in_flight -= 1
+        self._judge(slots, {event.status}, event, started, 1, now)
+        effects = self._refresh(now)
+        outcomes = OutcomeList()
+        self._pump(slots, outcomes, effects, now)
+        return effects + outcomes.build_effects()
+
+    def _refresh(self, now):
+        documents = self._documents
+        if (
+            documents.declarations is self._declarations
+            and documents.drains is self._drains
+        ):
+            return []
+        return self.documents_changed(now)
+
+    def _slots_of(self, name, now):
+        """Return the `UpstreamSlots` of a declared upstream, or None."""
+        slots = self._slots.get(name)
+        if slots is not None:
+            return slots
+        upstream = self._declarations.upstreams.get(name)
+        if upstream is None:
+            return None
+        limit = self._declarations.limits[upstream.limit]
+        group = self._declarations.group_of[name].name
+        slots = UpstreamSlots(upstream, limit, group, now)
+        slots.refusal = "drained" if self._drains.covers(upstream) else ""
+        self._slots[name] = slots
+        return slots
+
+    def _declare(self, slots, now):
+        upstream = self._declarations.upstreams.get(slots.upstream.name)
+        if upstream is None:
+            slots.refusal = "unknown upstream"
+            return
+        limit = self._declarations.limits[upstream.limit]
+        group = self._declarations.group_of[upstream.name].name
+        slots.declare(upstream, limit, group, now)
+        is_drained = self._drains.covers(upstream)
+        if is_drained and not slots.refusal:
+            # It comes back by ramp: what it was before tells nothing then.
+            slots.ramp.turn_cold(now)
+        slots.refusal = "drained" if is_drained else ""
+
+    def _refusal_of(self, slots):
+        if slots is None:
+            return "unknown upstream"
+        if self._is_leaving:
+            return "leaving"
+        return slots.refusal
+
+    def _allowance(self, slots, now, shares=None):
+        """Return how many calls may run now, and the reason when it is none.
+
+        ``shares`` holds what was already asked of `Members` in this event.
+        """
+        share = self._share_of(slots.group, now, {} if shares is None else shares)
+        if share is None:
+            return 0, "not owner"
+        n_slots = slots.ramp.n_slots(now)
+        if n_slots == 0:
+            return 0, "backing off"
+        allowance = share.limit(n_slots)
+        return allowance, "" if allowance > 0 else "no share"
+
+    def _share_of(self, group, now, shares):
+        if group not in shares:
+            is_owner = self._members.owner_of(group, now) == self._node_name
+            shares[group] = self._members.share_of(group, now) if is_owner else None
+        return shares[group]
+
+    def _queue_legs(self, source, batch, outcomes, effects, now):
+        """Queue the legs of a batch; returns them and the upstreams touched."""
+        remaining_ms = min(batch.remaining_ms, LONGEST_REMAINING_MS)
+        deadline = now + remaining_ms / 1000
+        priority = clamp_priority(batch.priority)
+        key = (source, batch.request_id)
+        open_legs = self._open_legs.setdefault(key, {})
+        legs = []
+        touched = {}
+        shares = {}
+        for spec in batch.legs:
+            if spec.leg_id in open_legs:
+                effects.append(Count("legs_dropped", "duplicate"))
+                continue
+            slots = self._slots_of(spec.upstream, now)
+            reason = self._refusal_of(slots)
+            # Written so that a value that is no number counts as expired.
+            if not reason and not remaining_ms > 0:
+                reason = "deadline"
+            if not reason and slots not in touched:
+                allowance, reason = self._allowance(slots, now, shares)
+                if not reason:
+                    touched[slots] = allowance
+            if not reason:
+                allowance = touched[slots]
+                reason = self._make_room(
+                    slots, priority, deadline, allowance, outcomes, now
+                )
+            if reason:
+                outcomes.refuse(source, batch.request_id, spec, reason)
+                continue
+            leg = QueuedLeg(source, batch, spec, priority, deadline, now, open_legs)
+            slots.queue.push(leg)
+            open_legs[spec.leg_id] = leg
+            legs.append(leg)
+        # Legs shed on the way may have been the last ones of this very query.
+        if open_legs:
+            self._open_legs[key] = open_legs
+        else:
+            self._open_legs.pop(key, None)
+        return legs, touched
+
+    def _make_room(self, slots, priority, deadline, allowance, outcomes, now):
+        """Return why a new leg cannot wait, or nothing if it can."""
+        queue = slots.queue
+        if queue.n_open == 0 and slots.n_in_flight < allowance:
+            return ""
+        n_ahead = queue.n_ahead(priority)
+        if slots.is_too_late(n_ahead, deadline - now, allowance):
+            return "overload"
+        self._shed_lower(slots, priority, allowance, outcomes, now)
+        if queue.n_open >= N_QUEUED_LEGS:
+            victim = queue.pop_below(priority)
+            if victim is None:
+                return "overload"
+            self._refuse_leg(victim, "overload", outcomes)
+        return ""
+
+    def _shed_lower(self, slots, priority, allowance, outcomes, now):
+        """Refuse legs of lower classes that the newcomer makes too late."""
+        while (leg := slots.queue.last_below(priority)) is not None:
+            remaining_s = leg.deadline - now
+            if not slots.is_too_late(slots.queue.n_open, remaining_s, allowance):
+                return
+            slots.queue.pop_below(priority)
+            self._refuse_leg(leg, "overload", outcomes)
+
+    def _pump(self, slots, outcomes, effects, now):
+        """Send what waits for an upstream, or refuse it when nothing may go."""
+        if not slots.queue.n_open and not slots.users:
+            return
+        reason = self._refusal_of(slots)
+        allowance = 0
+        if not reason:
+            allowance, reason = self._allowance(slots, now)
+        if reason:
+            self._refuse_waiting(slots, reason, outcomes, effects, now)
+            return
+        self._send_waiting(slots, allowance, outcomes, effects, now)
+
+    def _send_waiting(self, slots, allowance, outcomes, effects, now):
+        while slots.users and slots.n_in_flight < allowance:
+            slots.n_in_flight += 1
+            effects += slots.users.popleft().granted(now)
+        while slots.queue.n_open and slots.n_in_flight < allowance:
+            legs = self._take_legs(slots, outcomes, now)
+            if legs:
+                effects += self._start_call(slots, legs, now)
+
+    def _take_legs(self, slots, outcomes, now):
+        legs = []
+        while len(legs) < slots.ramp.n_legs:
+            leg = slots.queue.pop()
+            if leg is None:
+                break
+            if slots.is_hopeless(leg, now):
+                reason = "deadline" if now >= leg.deadline else "overload"
+                self._refuse_leg(leg, reason, outcomes)
+            else:
+                legs.append(leg)
+        return legs
+
+    def _start_call(self, slots, legs, now):
+        call_id = next(self._call_ids)
+        timeout_ms = (max(leg.deadline for leg in legs) - now) * 1000
+        call = UpstreamCall(call_id, slots, legs, now, timeout_ms, len(legs))
+        self._calls[call_id] = call
+        slots.n_in_flight += 1
+        called = []
+        for index, leg in enumerate(legs):
+            leg.call = call
+            batch = leg.batch
+            called.append(
+                CalledLeg(
+                    index,
+                    leg.spec,
+                    batch.request_id,
+                    batch.version,
+                    batch.query,
+                    batch.traceparent,
+                )
+            )
+        upstream = slots.upstream
+        wait_ms = (now - legs[0].arrived) * 1000
+        return [
+            CallUpstream(
+                call_id, upstream.name, upstream.address, tuple(called), timeout_ms
+            ),
+            Observe("queue_wait_ms", slots.group, wait_ms),
+            Count("legs_sent", slots.group, len(legs)),
+        ]
+
+    def _report_call(self, call, event, outcomes, effects):
+        """Report each leg of an ended call once; returns the statuses by index."""
+        statuses = [None] * len(call.legs)
+        for outcome in event.outcomes:
+            index = outcome.leg_id
+            if not 0 <= index < len(statuses) or statuses[index] is not None:
+                effects.append(Count("outcomes_dropped", "strange"))
+                continue
+            statuses[index] = outcome.status
+            self._report_leg(call.legs[index], outcome, outcomes, effects)
+        for index, status in enumerate(statuses):
+            if status is None:
+                statuses[index] = LegStatus.UNKNOWN
+                leg = call.legs[index]
+                missing = LegOutcome(
+                    index, leg.spec.shard, LegStatus.UNKNOWN, reason="no outcome"
+                )
+                self._report_leg(leg, missing, outcomes, effects)
+        return statuses
+
+    def _report_leg(self, leg, outcome, outcomes, effects):
+        if not leg.is_open:
+            effects.append(Count("outcomes_dropped", "late"))
+            return
+        self._close_leg(leg)
+        outcomes.add(
+            leg,
+            LegOutcome(
+                leg.spec.leg_id,
+                outcome.shard,
+                outcome.status,
+                outcome.version,
+                outcome.hits,
+                outcome.reason,
+                outcome.service_ms,
+            ),
+        )
+
+    def _judge_call(self, call, event, statuses, now):
+        slots = call.slots
+        if call.is_cancelled and not _ANSWERS.intersection(statuses):
+            # Cut short it tells nothing, but a long wait in vain tells enough.
+            if not call.is_late and not slots.is_overdue(call, event.elapsed_ms):
+                return
+        self._judge(slots, statuses, event, call.started, len(call.legs), now)
+
+    def _judge(self, slots, statuses, event, started, n_legs, now):
+        """Let the ramp learn from the statuses of one call."""
+        ramp = slots.ramp
+        if _ANSWERS.intersection(statuses):
+            ramp.answered(event.instance, started, event.elapsed_ms, n_legs, now)
+            return
+        if ramp.is_new_instance(event.instance, started):
+            ramp.turn_cold(now)
+        if LegStatus.SHED in statuses:
+            ramp.shed(now)
+        else:
+            ramp.failed(LegStatus.FAILED in statuses, now)
+
+    def _refuse_waiting(self, slots, reason, outcomes, effects, now):
+        while slots.users:
+            effects += slots.users.popleft().refused(reason, now)
+        for leg in slots.queue.pop_all():
+            self._refuse_leg(leg, reason, outcomes)
+
+    def _refuse_leg(self, leg, reason, outcomes):
+        """Report a leg, already off its queue, as not sent."""
+        self._close_leg(leg, is_queued=False)
+        outcomes.refuse(leg.source, leg.batch.request_id, leg.spec, reason)
+
+    def _end_legs(self, legs, reason):
+        """End legs before their outcome: queued not sent, in flight unknown."""
+        effects = []
+        outcomes = OutcomeList()
+        for leg in legs:
+            self._close_leg(leg)
+            if leg.call is None:
+                outcomes.refuse(leg.source, leg.batch.request_id, leg.spec, reason)
+                continue
+            spec = leg.spec
+            unknown = LegOutcome(
+                spec.leg_id, spec.shard, LegStatus.UNKNOWN, reason=reason
+            )
+            outcomes.add(leg, unknown)
+            effects += self._cancel_if_idle(leg.call)
+        return effects + outcomes.build_effects()
+
+    def _close_leg(self, leg, is_queued=True):
+        leg.is_open = False
+        del leg.siblings[leg.spec.leg_id]
+        if not leg.siblings:
+            self._open_legs.pop((leg.source, leg.batch.request_id), None)
+        if leg.call is not None:
+            leg.call.n_open -= 1
+        elif is_queued:
+            self._slots[leg.spec.upstream].queue.forget(leg)
+
+    def _cancel_if_idle(self, call):
+        if call is None or call.n_open or call.is_cancelled:
+            return []
+        call.is_cancelled = True
+        return [CancelCall(call.call_id)]
+
+
+def _build_spans(call, statuses, now):
+    """Return a span for each sampled query of a call."""
+    spans = {}
+    for leg, status in zip(call.legs, statuses, strict=True):
+        traceparent = leg.batch.traceparent
+        if traceparent[-1:] in _SAMPLED and traceparent not in spans:
+            spans[traceparent] = status
+    slots = call.slots
+    return [
+        EndSpan(
+            traceparent,
+            "upstream call",
+            call.started,
+            now,
+            (
+                ("upstream", slots.upstream.name),
+                ("n_legs", len(call.legs)),
+                ("status", status.name),
+                ("cancelled", call.is_cancelled),
+            ),
+        )
+        for traceparent, status in spans.items()
+    ]
--- /dev/null
+++ b/src/heatherpick/_core/outcomes.py
@@ -0,0 +1,41 @@
+"""Outcomes of legs, gathered so that each query's go in one message."""
+
+from heatherpick._core.effects import Count, SendPeer
+from heatherpick._core.messages import LegOutcome, LegResults, LegStatus
+
+__all__ = ["OutcomeList"]
+
+
+class OutcomeList:
+    """Outcomes that one event brought about."""
+
+    def __init__(self):
+        self._outcomes = {}
+        self._n_refused = {}
+
+    def add(self, leg, outcome):
+        """Take in the outcome of a `QueuedLeg`."""
+        self._add(leg.source, leg.batch.request_id, outcome)
+
+    def refuse(self, source, request_id, spec, reason):
+        """Take in that a leg was not sent, and why."""
+        self._n_refused[reason] = self._n_refused.get(reason, 0) + 1
+        outcome = LegOutcome(spec.leg_id, spec.shard, LegStatus.NOT_SENT, reason=reason)
+        self._add(source, request_id, outcome)
+
+    def build_effects(self):
+        """Return the messages to the legs' sources and the counts of refusals."""
+        effects = [
+            SendPeer(source, LegResults(request_id, tuple(outcomes)))
+            for (source, request_id), outcomes in self._outcomes.items()
+        ]
+        for reason, n_refused in self._n_refused.items():
+            effects.append(Count("legs_not_sent", reason, n_refused))
+        return effects
+
+    def _add(self, source, request_id, outcome):
+        key = (source, request_id)
+        if key in self._outcomes:
+            self._outcomes[key].append(outcome)
+        else:
+            self._outcomes[key] = [outcome]
--- /dev/null
+++ b/src/heatherpick/_core/ramp.py
@@ -0,0 +1,302 @@
+"""How much load one upstream gets: from its cold slots up, judged by its answers.
+
+An upstream's own health and load reports lag and mislead, so they are not read.
+"""
+
+from typing import Protocol
+
+from automat import TypeMachineBuilder
+
+from heatherpick._core.latency import LatencyEstimate
+
+__all__ = ["Ramp"]
+
+#: Answers for each slot in use before the next step up.
+N_STEP_ANSWERS = 8
+
+#: Shortest time between two steps up, in seconds.
+STEP_S = 0.25
+
+#: Legs in one call to a cold upstream.
+N_COLD_LEGS = 1
+
+#: Calls in a row without an answer that make an upstream cold, then given up.
+N_FAILURES = 3
+
+#: Calls in a row far slower than the estimate that make an upstream cold.
+N_SLOW = 3
+
+#: How many times the upper estimate a call must last to count as slow.
+SLOW_FACTOR = 4.0
+
+#: Samples of a batch size before its estimate is trusted.
+N_TRUSTED_SAMPLES = 20
+
+#: Silence after which an upstream may have restarted unseen, in seconds.
+IDLE_S = 30.0
+
+#: First and longest pause before a given-up upstream is tried again, in seconds.
+FIRST_PAUSE_S = 0.1
+LONGEST_PAUSE_S = 2.0
+
+
+class _Level:
+    """Slots and legs per call in force; moved only by the condition's outputs."""
+
+    def __init__(self, limit):
+        self.limit = limit
+        self.reset()
+
+    def reset(self):
+        self.n_slots = min(self.limit.n_cold_slots, self.limit.n_slots)
+        self.n_legs = min(N_COLD_LEGS, self.limit.n_batch)
+
+    def raise_one(self):
+        self.n_slots = min(self.n_slots + 1, self.limit.n_slots)
+        self.n_legs = min(self.n_legs * 2, self.limit.n_batch)
+
+    def halve(self):
+        self.n_slots = max(self.n_slots // 2, 1)
+        self.n_legs = max(self.n_legs // 2, 1)
+
+    @property
+    def is_full(self):
+        return self.n_slots >= self.limit.n_slots and self.n_legs >= self.limit.n_batch
+
+
+class _Condition(Protocol):
+    def grow(self) -> None:
+        """A window of answers is complete."""
+
+    def fill(self) -> None:
+        """The declared limit is reached."""
+
+    def reduce(self) -> None:
+        """The upstream shed a call."""
+
+    def turn_cold(self) -> None:
+        """The upstream seems to have started anew."""
+
+    def give_up(self) -> None:
+        """A cold upstream does not answer at all."""
+
+    def revive(self) -> None:
+        """A given-up upstream answered."""
+
+    def name(self) -> str:
+        """Return the condition's name."""
+
+
+def _build_condition():
+    builder = TypeMachineBuilder(_Condition, _Level)
+    cold = builder.state("cold")
+    ramping = builder.state("ramping")
+    ready = builder.state("ready")
+    backing_off = builder.state("backing off")
+
+    def raise_one(condition, level):
+        level.raise_one()
+
+    def halve(condition, level):
+        level.halve()
+
+    def reset(condition, level):
+        level.reset()
+
+    for state in (cold, ramping):
+        state.upon(_Condition.grow).to(ramping)(raise_one)
+        state.upon(_Condition.fill).to(ready).returns(None)
+    ready.upon(_Condition.grow).loop().returns(None)
+    ready.upon(_Condition.fill).loop().returns(None)
+    cold.upon(_Condition.reduce).loop()(halve)
+    ramping.upon(_Condition.reduce).loop()(halve)
+    ready.upon(_Condition.reduce).to(ramping)(halve)
+    cold.upon(_Condition.turn_cold).loop()(reset)
+    ramping.upon(_Condition.turn_cold).to(cold)(reset)
+    ready.upon(_Condition.turn_cold).to(cold)(reset)
+    cold.upon(_Condition.give_up).to(backing_off).returns(None)
+    # A given-up upstream stays so until it answers, whatever else is suspected.
+    for method in (
+        _Condition.grow,
+        _Condition.fill,
+        _Condition.reduce,
+        _Condition.turn_cold,
+        _Condition.give_up,
+    ):
+        backing_off.upon(method).loop().returns(None)
+    backing_off.upon(_Condition.revive).to(cold)(reset)
+    for state in (cold, ramping, ready):
+        state.upon(_Condition.revive).loop().returns(None)
+    for state in (cold, ramping, ready, backing_off):
+        state.upon(_Condition.name).loop().returns(state.name)
+    return builder.build()
+
+
+_CONDITION = _build_condition()
+
+
+class Ramp:
+    """The allowance of one upstream, raised by its answers.
+
+    Parameters
+    ----------
+    limit : Limit
+        What the upstream can bear, warm and cold.
+    now : float
+        Present time in seconds.
+    """
+
+    def __init__(self, limit, now):
+        self._level = _Level(limit)
+        self._condition = _CONDITION(self._level)
+        self.condition = self._condition.name()
+        self.latency = LatencyEstimate()
+        self._latency_by_size = {}
+        self._instance = ""
+        self._instance_since = now
+        self._last_answer = now
+        self._last_step = now
+        self._pause_s = FIRST_PAUSE_S
+        self._retry_at = now
+        self._clear_counts()
+
+    @classmethod
+    def from_limit(cls, limit, now):
+        """Return the ramp of an upstream of which nothing is known."""
+        return cls(limit, now)
+
+    @property
+    def n_legs(self):
+        """Legs that one call may carry now."""
+        return self._level.n_legs
+
+    def n_slots(self, now):
+        """Return the calls that may run side by side now, for the sole owner."""
+        if self.condition == "backing off":
+            return 1 if now >= self._retry_at else 0
+        if now - self._last_answer > IDLE_S and self.condition != "cold":
+            self.turn_cold(now)
+        return self._level.n_slots
+
+    def set_limit(self, limit):
+        """Put a newly declared limit in force; the ramp starts again below it."""
+        if limit == self._level.limit:
+            return
+        self._level.limit = limit
+        self._move("turn_cold")
+        self._clear_counts()
+
+    def turn_cold(self, now):
+        """Go back to the cold slots and forget how fast the upstream was."""
+        self._move("turn_cold")
+        self._clear_counts()
+        self._last_step = now
+        self.latency = LatencyEstimate()
+        self._latency_by_size.clear()
+
+    def is_new_instance(self, instance, started):
+        """Return whether an answer shows that the upstream has restarted.
+
+        ``started`` is when its call was sent: an answer to a call from before the
+        last restart arrives late and shows nothing.
+        """
+        if not instance or instance == self._instance:
+            return False
+        return bool(self._instance) and started >= self._instance_since
+
+    def answered(self, instance, started, elapsed_ms, n_legs, now):
+        """Take in an answer of the upstream to a call of ``n_legs``."""
+        is_new = self.is_new_instance(instance, started)
+        self._last_answer = now
+        self._n_failures = 0
+        self._n_sheds = 0
+        if is_new or not self._instance:
+            self._instance = instance
+            self._instance_since = now
+        if self.condition == "backing off":
+            self._revive(now)
+            return
+        if is_new or self._is_slow_again(elapsed_ms, n_legs):
+            self.turn_cold(now)
+            return
+        self._n_answers += 1
+        self._grow_if_due(now)
+
+    def shed(self, now):
+        """Take in that the upstream refused a call before starting it."""
+        self._n_answers = 0
+        self._last_step = now
+        if self._level.n_slots > 1 or self._level.n_legs > 1:
+            self._move("reduce")
+            return
+        self._n_sheds += 1
+        if self._n_sheds >= N_FAILURES:
+            self._pause(now)
+
+    def failed(self, is_alive, now):
+        """Take in a call without a good answer; ``is_alive``: it said so itself."""
+        self._n_answers = 0
+        self._n_failures += 1
+        if self.condition == "backing off":
+            if is_alive:
+                self._revive(now)
+            else:
+                self._pause(now)
+            return
+        if self._n_failures < N_FAILURES:
+            return
+        if self.condition != "cold":
+            self.turn_cold(now)
+        elif not is_alive:
+            self._pause(now)
+
+    def _clear_counts(self):
+        self._n_answers = 0
+        self._n_failures = 0
+        self._n_sheds = 0
+        self._n_slow = 0
+
+    def _move(self, name):
+        getattr(self._condition, name)()
+        self.condition = self._condition.name()
+
+    def _revive(self, now):
+        self._move("revive")
+        self._clear_counts()
+        self._pause_s = FIRST_PAUSE_S
+        self._last_step = now
+
+    def _pause(self, now):
+        if self.condition != "backing off":
+            self._move("turn_cold")
+            self._move("give_up")
+        self._retry_at = now + self._pause_s
+        self._pause_s = min(self._pause_s * 2, LONGEST_PAUSE_S)
+
+    def _grow_if_due(self, now):
+        if self.condition == "ready":
+            return
+        if self._n_answers < N_STEP_ANSWERS * self._level.n_slots:
+            return
+        if now - self._last_step < STEP_S:
+            return
+        self._n_answers = 0
+        self._last_step = now
+        self._move("grow")
+        if self._level.is_full:
+            self._move("fill")
+
+    def _is_slow_again(self, elapsed_ms, n_legs):
+        """Return whether calls in a row were far slower than their like."""
+        self.latency.add(elapsed_ms)
+        # A larger call rightly takes longer, so sizes are compared with their like.
+        estimate = self._latency_by_size.setdefault(
+            n_legs.bit_length(), LatencyEstimate()
+        )
+        is_slow = (
+            estimate.n_samples >= N_TRUSTED_SAMPLES
+            and elapsed_ms > SLOW_FACTOR * estimate.upper_ms
+        )
+        estimate.add(elapsed_ms)
+        self._n_slow = self._n_slow + 1 if is_slow else 0
+        return self._n_slow >= N_SLOW
--- /dev/null
+++ b/src/heatherpick/_core/slots.py
@@ -0,0 +1,159 @@
+"""One upstream as its owner sees it: slots in use, queue, ramp and calls."""
+
+from abc import ABC, abstractmethod
+from collections import deque
+from dataclasses import dataclass
+
+from heatherpick._core.queues import LegQueue, QueuedLeg
+from heatherpick._core.ramp import SLOW_FACTOR, Ramp
+from heatherpick._declarations.model import Limit, Upstream
+
+__all__ = ["SlotUser", "UpstreamCall", "UpstreamSlots", "UpstreamStatus"]
+
+#: Legs that may wait for one upstream.
+N_QUEUED_LEGS = 512
+
+#: Share of the median service time below which a leg cannot be answered in time.
+HOPELESS_SHARE = 0.5
+
+
+class SlotUser(ABC):
+    """Work other than legs that waits for a slot of an upstream."""
+
+    @abstractmethod
+    def granted(self, now):
+        """Use the slot that was just taken for this user; returns effects."""
+
+    @abstractmethod
+    def refused(self, reason, now):
+        """Note that no slot will come, and why; returns effects."""
+
+
+@dataclass(slots=True, eq=False)
+class UpstreamCall:
+    """A call in flight.
+
+    Parameters
+    ----------
+    call_id : int
+        Number of the call.
+    slots : UpstreamSlots
+        The upstream that it went to.
+    legs : list of QueuedLeg
+        Its legs; the position is the index by which outcomes name them.
+    started : float
+        When it was sent, in seconds.
+    timeout_ms : float
+        How long it may last.
+    n_open : int
+        Legs whose outcome is still owed.
+    is_cancelled : bool
+        Whether the shell was asked to cancel it.
+    is_late : bool
+        Whether the deadline of one of its legs passed in flight.
+    """
+
+    call_id: int
+    slots: "UpstreamSlots"
+    legs: list[QueuedLeg]
+    started: float
+    timeout_ms: float
+    n_open: int
+    is_cancelled: bool = False
+    is_late: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class UpstreamStatus:
+    """What operators see of an upstream at its owner."""
+
+    name: str
+    condition: str
+    refusal: str
+    n_slots: int
+    n_legs_per_call: int
+    n_in_flight: int
+    n_queued: int
+    mean_ms: float
+    median_ms: float
+    upper_ms: float
+
+
+class UpstreamSlots:
+    """Slots of one upstream.
+
+    Parameters
+    ----------
+    upstream : Upstream
+        The declared upstream.
+    limit : Limit
+        Its declared limit.
+    group : str
+        Name of the group by which it is owned.
+    now : float
+        Present time in seconds.
+    """
+
+    def __init__(self, upstream, limit, group, now):
+        self.upstream = upstream
+        self.group = group
+        self.limit = limit
+        self.ramp = Ramp.from_limit(limit, now)
+        self.queue = LegQueue()
+        self.users = deque()
+        self.n_in_flight = 0
+        self.refusal = ""
+
+    def declare(self, upstream: Upstream, limit: Limit, group, now):
+        """Put changed declarations in force."""
+        if upstream.address != self.upstream.address:
+            self.ramp.turn_cold(now)
+        self.upstream = upstream
+        self.group = group
+        self.limit = limit
+        self.ramp.set_limit(limit)
+
+    def expected_wait_s(self, n_ahead, allowance):
+        """Return how long a leg behind ``n_ahead`` others waits to be sent."""
+        if self.n_in_flight < allowance and n_ahead < self.ramp.n_legs:
+            return 0.0
+        n_calls_ahead = 1 + n_ahead // self.ramp.n_legs
+        return n_calls_ahead * self.ramp.latency.mean_ms / 1000 / allowance
+
+    def is_too_late(self, n_ahead, remaining_s, allowance):
+        """Return whether a leg behind ``n_ahead`` others would be late."""
+        wait_s = self.expected_wait_s(n_ahead, allowance)
+        if wait_s == 0.0:
+            return False
+        return wait_s + self.ramp.latency.median_ms / 1000 > remaining_s
+
+    def is_hopeless(self, leg, now):
+        """Return whether a leg that reached the front would still be late."""
+        # An idle upstream is always tried: else a wrong estimate never mends.
+        if self.n_in_flight == 0:
+            return now >= leg.deadline
+        least_s = HOPELESS_SHARE * self.ramp.latency.median_ms / 1000
+        return now + least_s >= leg.deadline
+
+    def is_overdue(self, call, elapsed_ms):
+        """Return whether a call lasted far longer than calls mostly do."""
+        latency = self.ramp.latency
+        if latency.n_samples:
+            return elapsed_ms > SLOW_FACTOR * latency.upper_ms
+        return elapsed_ms > call.timeout_ms / 2
+
+    def describe(self, now):
+        """Return the upstream's `UpstreamStatus`."""
+        latency = self.ramp.latency
+        return UpstreamStatus(
+            self.upstream.name,
+            self.ramp.condition,
+            self.refusal,
+            self.ramp.n_slots(now),
+            self.ramp.n_legs,
+            self.n_in_flight,
+            self.queue.n_open,
+            latency.mean_ms,
+            latency.median_ms,
+            latency.upper_ms,
+        )
--- /dev/null
+++ b/tests/fakes.py
@@ -0,0 +1,68 @@
+"""Small fakes at the interfaces of the core's components."""
+
+from dataclasses import dataclass, field
+
+from heatherpick.declarations import (
+    DeclarationSet,
+    Drains,
+    Limit,
+    Service,
+    ShardSet,
+    Upstream,
+)
+
+
+@dataclass
+class FakeShare:
+    """A share of an upstream's limit; ``most`` caps it."""
+
+    most: int | None = None
+
+    def limit(self, x):
+        return x if self.most is None else min(x, self.most)
+
+
+@dataclass
+class FakeMembers:
+    """Members whose owners are set by the test; every other group is ``self``'s."""
+
+    node_name: str
+    owners: dict = field(default_factory=dict)
+    shares: dict = field(default_factory=dict)
+
+    def owner_of(self, group, now):
+        return self.owners.get(group, self.node_name)
+
+    def share_of(self, group, now):
+        return self.shares.get(group, FakeShare())
+
+
+@dataclass
+class FakeDocuments:
+    """The two documents that components read."""
+
+    declarations: DeclarationSet
+    drains: Drains = field(default_factory=Drains)
+
+
+def build_documents(n_upstreams=2, limit=None, n_group=None, **service):
+    """Return documents of one service whose upstreams all hold shard 0."""
+    limit = limit or Limit("limit", 3, 1, 60, 6.0, 8)
+    upstreams = {
+        f"u{i}": Upstream(f"u{i}", "dc1", f"127.0.0.1:{i}", limit.name, "set", (0,))
+        for i in range(n_upstreams)
+    }
+    shard_set = ShardSet("set", 1, 1, n_group or n_upstreams)
+    return FakeDocuments(
+        DeclarationSet(
+            limits={limit.name: limit},
+            upstreams=upstreams,
+            shard_sets={"set": shard_set},
+            services={"service": Service("service", "set", "deadline", **service)},
+        )
+    )
+
+
+def select(effects, kind):
+    """Return the effects of one kind."""
+    return [each for each in effects if type(each) is kind]
