--- a/src/heatherpick/_shell/runtime.py
+++ b/src/heatherpick/_shell/runtime.py
@@ -2,7 +2,7 @@
 
 from collections import deque
 
-from heatherpick._core.effects import SetTimer
+from heatherpick._core.effects import CancelTimer, SetTimer
 from heatherpick._core.events import TimerFired
 
 __all__ = ["Runtime"]
@@ -30,7 +30,10 @@
         self._events = deque()
         self._busy = False
         self._timers = {}
-        self._carriers = {SetTimer: self._set_timer}
+        self._carriers = {
+            SetTimer: self._set_timer,
+            CancelTimer: self._cancel_timer,
+        }
 
     def carry(self, carriers):
         """Add carriers, a dict of effect type to a callable of one effect."""
@@ -87,6 +90,11 @@
             delay_s, self._fire, effect.name
         )
 
+    def _cancel_timer(self, effect):
+        timer = self._timers.pop(effect.name, None)
+        if timer is not None:
+            timer.cancel()
+
     def _fire(self, name):
         del self._timers[name]
         self.feed(TimerFired(name))
