--- a/src/heatherpick/_core/admission.py
+++ b/src/heatherpick/_core/admission.py
@@ -96,7 +96,7 @@
         outcomes = OutcomeList()
         statuses = self._report_call(call, event, outcomes, effects)
         self._judge_call(call, event, statuses, now)
-        effects.append(Observe("upstream_call_ms", slots.group, event.elapsed_ms))
+        effects.append(Observe("upstream_call_ms", slots.group.name, event.elapsed_ms))
         effects += _build_spans(call, statuses, now)
         self._pump(slots, outcomes, effects, now)
         return effects + outcomes.build_effects()
@@ -202,7 +202,7 @@
         if upstream is None:
             return None
         limit = self._declarations.limits[upstream.limit]
-        group = self._declarations.group_of[name].name
+        group = self._declarations.group_of[name]
         slots = UpstreamSlots(upstream, limit, group, now)
         slots.refusal = "drained" if self._drains.covers(upstream) else ""
         self._slots[name] = slots
@@ -214,7 +214,7 @@
             slots.refusal = "unknown upstream"
             return
         limit = self._declarations.limits[upstream.limit]
-        group = self._declarations.group_of[upstream.name].name
+        group = self._declarations.group_of[upstream.name]
         slots.declare(upstream, limit, group, now)
         is_drained = self._drains.covers(upstream)
         if is_drained and not slots.refusal:
@@ -244,10 +244,11 @@
         return allowance, "" if allowance > 0 else "no share"
 
     def _share_of(self, group, now, shares):
-        if group not in shares:
+        if group.name not in shares:
             is_owner = self._members.owner_of(group, now) == self._node_name
-            shares[group] = self._members.share_of(group, now) if is_owner else None
-        return shares[group]
+            share = self._members.share_of(group, now) if is_owner else None
+            shares[group.name] = share
+        return shares[group.name]
 
     def _queue_legs(self, source, batch, outcomes, effects, now):
         """Queue the legs of a batch; returns them and the upstreams touched."""
@@ -377,8 +378,8 @@
             CallUpstream(
                 call_id, upstream.name, upstream.address, tuple(called), timeout_ms
             ),
-            Observe("queue_wait_ms", slots.group, wait_ms),
-            Count("legs_sent", slots.group, len(legs)),
+            Observe("queue_wait_ms", slots.group.name, wait_ms),
+            Count("legs_sent", slots.group.name, len(legs)),
         ]
 
     def _report_call(self, call, event, outcomes, effects):
--- a/src/heatherpick/_core/slots.py
+++ b/src/heatherpick/_core/slots.py
@@ -88,8 +88,8 @@
         The declared upstream.
     limit : Limit
         Its declared limit.
-    group : str
-        Name of the group by which it is owned.
+    group : UpstreamGroup
+        Group by which it is owned.
     now : float
         Present time in seconds.
     """
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -24,17 +24,17 @@
 
 @dataclass
 class FakeMembers:
-    """Members whose owners are set by the test; every other group is ``self``'s."""
+    """Members whose owners are set by the test; ``node_name`` owns the rest."""
 
     node_name: str
     owners: dict = field(default_factory=dict)
     shares: dict = field(default_factory=dict)
 
     def owner_of(self, group, now):
-        return self.owners.get(group, self.node_name)
+        return self.owners.get(group.name, self.node_name)
 
     def share_of(self, group, now):
-        return self.shares.get(group, FakeShare())
+        return self.shares.get(group.name, FakeShare())
 
 
 @dataclass
