Platform calls and upstream calls share one pool that knows whether a byte left

Cause: the contract table of the platform failed against treq. readBody could not abort a stalled body, as the transport it is given has no abortConnection, so a timed out read kept its connection; and treq's body producer runs on the global reactor. Change: both interfaces use ExchangePool, twisted's own pool and HTTP/1.1 protocol.

--- a/src/heatherpick/_shell/callers.py
+++ b/src/heatherpick/_shell/callers.py
@@ -169,6 +169,13 @@
         """Answer a request to an unknown path or by a wrong method."""
         return _write_json(request, failure.value.code, {"error": failure.value.name})
 
+    @app.handle_errors(Exception)
+    def report_fault(self, request, failure):
+        """Log a fault of this program and tell the caller that there was one."""
+        self._logs.report("request failed", error=repr(failure.value))
+        fault = {"error": "internal fault; see the node's log"}
+        return _write_json(request, HTTP_SERVER_ERROR, fault)
+
     def _refuse_service(self, request, service):
         # A node that has no declarations yet cannot tell which services exist.
         if not self._is_ready:
--- a/src/heatherpick/_shell/exchanges.py
+++ b/src/heatherpick/_shell/exchanges.py
@@ -1,4 +1,4 @@
-"""HTTP exchanges with upstreams that know whether a byte may have left.
+"""HTTP exchanges that know whether a byte may have left.
 
 The connection pool and the protocol are twisted's. The pool is asked for the
 connection first, and the request is then written by the protocol, so a failure
@@ -64,19 +64,21 @@
         self._pool.maxPersistentPerHost = N_IDLE_CONNECTIONS
         self._pool.cachedConnectionTimeout = IDLE_TIMEOUT_S
 
-    def post(self, address, path, headers, body, timeout_s, done):
-        """POST a JSON body and call ``done`` exactly once.
+    def request(self, method, address, path, headers, body, timeout_s, done):
+        """Send a request and call ``done`` exactly once.
 
         Parameters
         ----------
+        method : bytes
+            Method of HTTP.
         address : str
             ``ip:port``.
         path : bytes
             Path of the request.
         headers : dict of bytes to bytes
             Headers besides the host, the type and the length.
-        body : bytes
-            JSON text.
+        body : bytes or None
+            JSON text, or None for a request without a body.
         timeout_s : float
             Seconds until the whole answer must be here.
         done : callable
@@ -86,8 +88,13 @@
         -------
         Exchange
             Has ``cancel()``.
+
+        Raises
+        ------
+        InvalidArgument
+            The address is not ``ip:port``; ``done`` is not called.
         """
-        request = self._build_request(address, path, headers, body)
+        request = self._build_request(method, address, path, headers, body)
         exchange = _Exchange(self._reactor, request, done)
         connect_s = min(CONNECT_TIMEOUT_S, timeout_s)
         endpoint = build_endpoint(self._reactor, address, connect_s)
@@ -98,12 +105,15 @@
         """Close the idle connections."""
         return self._pool.closeCachedConnections()
 
-    def _build_request(self, address, path, headers, body):
-        raw = {b"host": [address.encode()], b"content-type": [b"application/json"]}
+    def _build_request(self, method, address, path, headers, body):
+        raw = {b"host": [address.encode()]}
+        producer = None
+        if body is not None:
+            raw[b"content-type"] = [b"application/json"]
+            producer = _BodyProducer(body)
         for name, value in headers.items():
             raw[name] = [value]
-        producer = _BodyProducer(body)
-        return Request(b"POST", path, Headers(raw), producer, self._persistent)
+        return Request(method, path, Headers(raw), producer, self._persistent)
 
 
 class _Exchange:
--- /dev/null
+++ b/src/heatherpick/_shell/objects.py
@@ -0,0 +1,178 @@
+"""What an answer of the platform's object API says, as events."""
+
+import orjson
+
+from heatherpick._core.events import (
+    DocumentSeen,
+    ObjectConflict,
+    ObjectFailed,
+    ObjectRead,
+    ObjectWritten,
+    VmsListed,
+)
+from heatherpick._shell.exchanges import ExchangeFailure
+from heatherpick.errors import FrameError
+
+__all__ = [
+    "WATCH_PREFIX",
+    "parse_vms",
+    "parse_watch",
+    "read_object_answer",
+    "read_write_answer",
+]
+
+HTTP_OK = 200
+HTTP_NOT_FOUND = 404
+HTTP_CONFLICT = 409
+#: Prefix of the documents that a watch follows.
+WATCH_PREFIX = "shared/"
+
+
+def read_object_answer(effect, result):
+    """Return the event that ends a `ReadObject`.
+
+    Parameters
+    ----------
+    effect : ReadObject
+        What was asked.
+    result : Reply or ExchangeFailure
+        How the exchange ended.
+
+    Returns
+    -------
+    ObjectRead or ObjectFailed
+    """
+    if type(result) is not ExchangeFailure and result.status == HTTP_NOT_FOUND:
+        return ObjectRead(effect.token, effect.name, 0, "")
+    try:
+        content = _parse(result, HTTP_OK)
+        return ObjectRead(effect.token, effect.name, *_parse_object(content, effect))
+    except FrameError:
+        return _fail(effect, result)
+
+
+def read_write_answer(effect, result):
+    """Return the event that ends a `WriteObject`.
+
+    Parameters
+    ----------
+    effect : WriteObject
+        What was asked.
+    result : Reply or ExchangeFailure
+        How the exchange ended.
+
+    Returns
+    -------
+    ObjectWritten, ObjectConflict or ObjectFailed
+    """
+    try:
+        content = _parse(result, HTTP_OK, HTTP_CONFLICT)
+        if result.status == HTTP_OK:
+            version = _parse_number(content, "version")
+            return ObjectWritten(effect.token, effect.name, version)
+        version, body = _parse_object(content, effect)
+        return ObjectConflict(effect.token, effect.name, version, body)
+    except FrameError:
+        return _fail(effect, result)
+
+
+def parse_watch(result):
+    """Return the revision and the documents of a watch's answer.
+
+    Parameters
+    ----------
+    result : Reply or ExchangeFailure
+        How the exchange ended.
+
+    Returns
+    -------
+    tuple of (int, list of DocumentSeen)
+
+    Raises
+    ------
+    FrameError
+        There is no answer, or it is not of the agreed shape.
+    """
+    content = _parse(result, HTTP_OK)
+    objects = content.get("objects")
+    if type(objects) is not list:
+        raise FrameError("objects of a watch are not a list")
+    seen = [_parse_document(each) for each in objects]
+    return _parse_number(content, "revision"), seen
+
+
+def parse_vms(result):
+    """Return the `VmsListed` of an answer to `ListVms`.
+
+    Parameters
+    ----------
+    result : Reply or ExchangeFailure
+        How the exchange ended.
+
+    Returns
+    -------
+    VmsListed
+
+    Raises
+    ------
+    FrameError
+        There is no answer, or it is not of the agreed shape.
+    """
+    content = _parse(result, HTTP_OK)
+    return VmsListed(_parse_names(content, "live"), _parse_names(content, "leaving"))
+
+
+def _fail(effect, result):
+    sent = type(result) is not ExchangeFailure or result.sent
+    return ObjectFailed(effect.token, effect.name, sent)
+
+
+def _parse(result, *statuses):
+    if type(result) is ExchangeFailure:
+        raise FrameError(f"no answer of the platform: {result.reason}")
+    if result.status not in statuses:
+        raise FrameError(f"the platform answered with status {result.status}")
+    try:
+        content = orjson.loads(result.body)
+    except orjson.JSONDecodeError as error:
+        raise FrameError("answer of the platform is not JSON") from error
+    if type(content) is not dict:
+        raise FrameError("answer of the platform is not an object")
+    return content
+
+
+def _parse_number(content, key):
+    number = content.get(key)
+    if type(number) is not int or number < 0:
+        raise FrameError(f"{key} {number!r:.40} of the platform is not a number")
+    return number
+
+
+def _parse_object(content, effect):
+    if content.get("name") != effect.name:
+        raise FrameError(f"the platform answered about {content.get('name')!r:.80}")
+    return _parse_content(content)
+
+
+def _parse_content(content):
+    version = _parse_number(content, "version")
+    body = content.get("body")
+    if version == 0 and body is None:
+        return version, ""
+    if type(body) is not str:
+        raise FrameError("body of an object is not text")
+    return version, body
+
+
+def _parse_document(content):
+    name = content.get("name") if type(content) is dict else None
+    if type(name) is not str or not name.startswith(WATCH_PREFIX):
+        raise FrameError(f"watch gave {name!r:.80}")
+    return DocumentSeen(name, *_parse_content(content))
+
+
+def _parse_names(content, key):
+    names = content.get(key)
+    if type(names) is not list or any(type(name) is not str for name in names):
+        raise FrameError(f"{key} is not a list of names")
+    return frozenset(names)
--- a/src/heatherpick/_shell/upstreams.py
+++ b/src/heatherpick/_shell/upstreams.py
@@ -74,7 +74,9 @@
         self._exchanges[effect.call_id] = None
         try:
             path, body = build(effect)
-            exchange = pool.post(effect.address, path, headers, body, timeout_s, finish)
+            exchange = pool.request(
+                b"POST", effect.address, path, headers, body, timeout_s, finish
+            )
         except (InvalidArgument, orjson.JSONEncodeError):
             finish(ExchangeFailure(sent=False, reason="unusable call"))
             return
