--- a/src/heatherpick/_core/admission.py
+++ b/src/heatherpick/_core/admission.py
@@ -156,6 +156,18 @@
         """Return an `UpstreamStatus` for each upstream that had work here."""
         return tuple(slots.describe(now) for slots in self._slots.values())
 
+    def check_slot(self, upstream, remaining_s, now):
+        """Return why no slot would come in time, or nothing if one may."""
+        slots = self._slots_of(upstream, now)
+        reason = self._refusal_of(slots)
+        if reason:
+            return reason
+        allowance, reason = self._allowance(slots, now)
+        if reason:
+            return reason
+        n_ahead = len(slots.users) * slots.ramp.n_legs
+        return "overload" if slots.is_too_late(n_ahead, remaining_s, allowance) else ""
+
     def reserve_slot(self, upstream, user, now):
         """Take a slot for a `SlotUser`, now or before any leg; returns effects."""
         effects = self._refresh(now)
--- a/src/heatherpick/_core/rendezvous.py
+++ b/src/heatherpick/_core/rendezvous.py
@@ -2,12 +2,12 @@
 
 import xxhash
 
-__all__ = ["rank", "score"]
+__all__ = ["find_first", "rank", "score"]
 
 
 def score(key, node):
     """Return the weight of ``node`` for ``key``; the highest comes first."""
-    return xxhash.xxh3_64_intdigest(f"{key}\n{node}")
+    return xxhash.xxh3_64_intdigest(f"{key}\n{node}".encode())
 
 
 def rank(key, nodes):
@@ -17,3 +17,8 @@
     keys of a lost node move.
     """
     return tuple(sorted(nodes, key=lambda node: (-score(key, node), node)))
+
+
+def find_first(key, nodes):
+    """Return the first of `rank`, "" when there are no nodes."""
+    return min(nodes, key=lambda node: (-score(key, node), node), default="")
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 
 from heatherpick.declarations import (
+    Deadline,
     DeclarationSet,
     Drains,
     Limit,
@@ -56,6 +57,7 @@
     return FakeDocuments(
         DeclarationSet(
             limits={limit.name: limit},
+            deadlines={"deadline": Deadline("deadline", 1010.0, 10.0)},
             upstreams=upstreams,
             shard_sets={"set": shard_set},
             services={"service": Service("service", "set", "deadline", **service)},
