A refused leg is retried until the deadline, with a wait between rounds

Ruled out: more attempts, since the count also bounds repeated work. Change: an attempt that provably did not start does not count; its upstream is passed over until the next look at the query.

--- a/src/heatherpick/_core/queries.py
+++ b/src/heatherpick/_core/queries.py
@@ -66,6 +66,7 @@
     open_legs: dict[int, OpenLeg] = field(default_factory=dict)
     open_of: dict[int, list[int]] = field(default_factory=dict)
     tried: dict[int, list[str]] = field(default_factory=dict)
+    refused: dict[int, set[str]] = field(default_factory=dict)
     waiting: set[int] = field(default_factory=set)
     n_legs: int = 0
     started_work: bool = False
@@ -115,6 +116,23 @@
             self.open_of[leg.shard].remove(leg_id)
         return leg
 
+    def retract(self, leg):
+        """Note that the upstream of a closed leg proved that it did not start it.
+
+        The attempt does not count, but that upstream is passed over until the
+        refusals of the shard are forgotten.
+        """
+        self.tried[leg.shard].remove(leg.upstream)
+        self.refused.setdefault(leg.shard, set()).add(leg.upstream)
+
+    def list_fresh(self, shard, candidates):
+        """Return the candidates that have neither been tried nor refused."""
+        tried = self.tried.get(shard, ())
+        refused = self.refused.get(shard, ())
+        return [
+            each for each in candidates if each not in tried and each not in refused
+        ]
+
     def list_open(self, shard):
         """Return the ids of the open legs of a shard."""
         return tuple(self.open_of.get(shard, ()))
@@ -126,6 +144,7 @@
         self.open_legs = {}
         self.open_of = {}
         self.tried = {}
+        self.refused = {}
         self.waiting = set()
         self.moved = True
         self.wants_move = False
--- a/src/heatherpick/_core/searches.py
+++ b/src/heatherpick/_core/searches.py
@@ -30,7 +30,7 @@
 HARD_EXTRA_SHARE = 0.05
 #: Part of the time after which a service that weighs its tail settles for less.
 TAIL_PATIENCE = 0.75
-#: Attempts at one shard within one query.
+#: Attempts at one shard within one query that may have reached an upstream.
 MAX_ATTEMPTS = 5
 #: Wait before a shard that nobody admitted is tried again, in milliseconds.
 RETRY_MS = 8.0
@@ -189,6 +189,7 @@
             return []
         if now >= query.answer_at or self._may_settle(query, now):
             return self._answer(query, now)
+        query.refused.clear()
         waiting = sorted(query.waiting)
         effects = self._send_shards(query, waiting, now)
         effects.extend(self._hedge(query, now))
@@ -262,7 +263,7 @@
         if len(tried) >= MAX_ATTEMPTS:
             return "", ""
         usable = self._list_usable(query.snapshot.replicas[shard], now)
-        fresh = [name for name in usable if name not in tried]
+        fresh = query.list_fresh(shard, usable)
         if not fresh and hedge:
             return "", ""
         candidates = fresh or usable
@@ -327,6 +328,8 @@
         effects.append(Count("legs_unanswered", status.name.lower()))
         if status is LegStatus.GONE:
             query.wants_move = True
+        if status in _PROVED_UNSTARTED:
+            query.retract(leg)
         self._plan_retry(query, leg.shard, status, retries)
 
     def _cover(self, query, outcome, now, effects):
@@ -363,7 +366,8 @@
         if self._may_move(query):
             return self._move(query, now)
         effects = []
-        fresh = [shard for shard in retries if self._has_fresh_replica(query, shard)]
+        replicas = query.snapshot.replicas
+        fresh = [each for each in retries if query.list_fresh(each, replicas[each])]
         query.waiting.update(shard for shard in retries if shard not in fresh)
         effects.extend(self._send_shards(query, fresh, now))
         if self._is_hopeless(query):
@@ -372,10 +376,6 @@
             effects.extend(self._arm(query, now))
         return effects
 
-    def _has_fresh_replica(self, query, shard):
-        tried = query.tried.get(shard, ())
-        return any(name not in tried for name in query.snapshot.replicas[shard])
-
     def _is_hopeless(self, query):
         if query.open_legs or query.wants_move:
             return False
@@ -413,7 +413,8 @@
         for leg in late:
             waited_ms = (now - leg.sent) * 1000.0
             self._replicas.learn_wait(leg.upstream, waited_ms, now)
-            if not self._list_usable_fresh(query, leg.shard, now):
+            usable = self._list_usable(query.snapshot.replicas[leg.shard], now)
+            if not query.list_fresh(leg.shard, usable):
                 continue
             if not pace.spend_hedge():
                 break
@@ -423,11 +424,6 @@
         effects = self._send_shards(query, shards, now, hedge=True)
         return [Count("extra_legs", "hedge", len(shards)), *effects]
 
-    def _list_usable_fresh(self, query, shard, now):
-        tried = query.tried.get(shard, ())
-        usable = self._list_usable(query.snapshot.replicas[shard], now)
-        return [name for name in usable if name not in tried]
-
     def _may_settle(self, query, now):
         if now < query.settle_at or query.service.weigh is not Weigh.TAIL:
             return False
--- a/tests/unit/test_searches.py
+++ b/tests/unit/test_searches.py
@@ -273,3 +273,25 @@
     begun = harness.begin()
     assert any(isinstance(effect, SetTimer) for effect in begun)
     assert any(isinstance(e, CancelTimer) for e in harness.answer(begun, 0.01))
+
+
+def test_shard_that_nobody_admits_is_retried_until_the_deadline():
+    harness = Harness()
+    effects = harness.begin()
+    for step in range(1, 18):
+        now = step * 0.011
+        effects = harness.answer(effects, now, status=LegStatus.NOT_SENT)
+        assert not has_answer(effects)
+        effects = effects + harness.searches.timer("searches:q", now + 0.01)
+    answer = get_answer(harness.answer(effects, 0.19))
+    assert answer.outcome is Outcome.ANSWERED
+
+
+def test_refusals_do_not_make_legs_go_round_without_a_wait():
+    harness = Harness()
+    effects = harness.begin()
+    n_legs = 0
+    for _ in range(10):
+        n_legs += sum(len(batch.legs) for _, batch in list_batches(effects))
+        effects = harness.answer(effects, 0.01, status=LegStatus.NOT_SENT)
+    assert n_legs == 2 * 20
