Read a live set of thousands of upstreams in a third of the time

Cause: a node decodes a new set while queries wait, and 8,000 upstreams with bodies of 421 KB took 0.46 to 0.71 s (5 runs, this machine, others at work). The profile shows sections, results and address parsing made for messages that a faultless body never needs.

Change: tables are read row by row first, with equal texts of a column read once and usual IPv4 addresses matched by one pattern; any fault sends the body through the reader that finds places. 0.17 to 0.28 s after, in 5 runs.

Red first: without the check of structure 3 tests failed, without that of names that stand twice the added body failed.

Left: 0.17 s is still a pause at that size; a set for each region would have a fifth of the rows.

--- a/src/heatherpick/_ini/values.py
+++ b/src/heatherpick/_ini/values.py
@@ -26,6 +26,11 @@
 MAX_PORT = 65_535
 
 _NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}")
+# Most addresses are IPv4 in the form to which ipaddress would bring them, and a
+# set holds thousands. What does not fit here is read by ipaddress.
+_OCTET = r"(?:25[0-5]|2[0-4][0-9]|1[0-9][0-9]|[1-9]?[0-9])"
+_USUAL_PORT = r"(?:[1-9][0-9]{0,3}|[1-5][0-9]{4})"
+_USUAL_ADDRESS = re.compile(rf"(?!0\.){_OCTET}(?:\.{_OCTET}){{3}}:{_USUAL_PORT}")
 _INTEGER = re.compile(r"-?[0-9]{1,18}")
 _NUMBER = re.compile(r"-?[0-9]+(\.[0-9]+)?(e-?[0-9]{1,3})?")
 _SHARD_RANGE = re.compile(r"([0-9]{1,9})(?:-([0-9]{1,9}))?")
@@ -198,6 +203,8 @@
 
     def convert(self, text):
         """Return ``text`` in its usual form, so that equal addresses are equal."""
+        if _USUAL_ADDRESS.fullmatch(text):
+            return text
         host, _, port_text = text.rpartition(":")
         is_bracketed = host.startswith("[") and host.endswith("]")
         address = ipaddress.ip_address(host[1:-1] if is_bracketed else host)
--- a/src/heatherpick/declarations.py
+++ b/src/heatherpick/declarations.py
@@ -1,12 +1,11 @@
 """Declared objects, the checked set that holds them, and its documents."""
 
+from heatherpick._declarations.decode import decode_declarations, decode_drains
 from heatherpick._declarations.differences import Difference, find_differences
 from heatherpick._declarations.encode import (
     DECLARATIONS_OBJECT,
     DRAINS_OBJECT,
     MAX_BODY_BYTES,
-    decode_declarations,
-    decode_drains,
     encode_declarations,
     encode_drains,
 )
--- a/tests/fuzz/test_ini_fuzz.py
+++ b/tests/fuzz/test_ini_fuzz.py
@@ -1,10 +1,15 @@
 import itertools
+import json
+import re
+from unittest import mock
 
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from heatherpick._declarations import decode
 from heatherpick._declarations.kinds import KINDS
+from heatherpick._ini import values
 from heatherpick._settings.node import NODE_VALUES
 from heatherpick.declarations import (
     Drains,
@@ -78,14 +83,13 @@
 @FIXED
 @given(content=JSON, kinds=JSON, body=st.text())
 def test_decoders_raise_only_their_error(content, kinds, body):
-    import json
-
     wrapped = {"format": 1, "kinds": kinds}
     drained = {"format": 1, "data_centres": content, "upstreams": kinds}
     bodies = [body, *map(json.dumps, (content, wrapped, drained))]
-    for decode, text in itertools.product((decode_declarations, decode_drains), bodies):
+    decoders = (decode_declarations, decode_drains)
+    for decoder, text in itertools.product(decoders, bodies):
         try:
-            decode(text)
+            decoder(text)
         except DeclarationError as error:
             assert error.findings
 
@@ -131,3 +135,60 @@
 def test_document_gives_back_the_drains(data_centres, upstreams):
     drains = Drains(data_centres, upstreams)
     assert decode_drains(encode_drains(drains)) == drains
+
+
+EXAMPLE = json.loads(encode_declarations(load_declarations(["examples/kuusiketju"])))
+ROW_NAMES = [row[0] for row in EXAMPLE["kinds"]["upstream"]["rows"]]
+CELLS = (
+    WORDS
+    | NAMES
+    | st.none()
+    | st.sampled_from(ROW_NAMES)
+    | st.text(max_size=4)
+    | st.just("findings")
+)
+
+
+@st.composite
+def damaged_bodies(draw):
+    """Body of an example with one cell, key or row changed."""
+    content = json.loads(json.dumps(EXAMPLE))
+    table = content["kinds"][draw(st.sampled_from(sorted(KINDS)))]
+    lists = [table["keys"], draw(st.sampled_from(table["rows"]))]
+    damaged = draw(st.sampled_from(lists))
+    position = draw(st.integers(0, len(damaged) - 1))
+    damaged[position : position + draw(st.integers(0, 1))] = draw(
+        st.lists(CELLS, max_size=1)
+    )
+    return json.dumps(content)
+
+
+def decode_or_none(body):
+    try:
+        return decode_declarations(body)
+    except DeclarationError:
+        return None
+
+
+@FIXED
+@given(body=damaged_bodies())
+def test_quick_reading_agrees_with_the_reading_that_finds_faults(body):
+    quick = decode_or_none(body)
+    with mock.patch.object(decode, "_read_quickly", lambda tables: None):
+        assert decode_or_none(body) == quick
+
+
+ADDRESSES = st.builds(
+    "{}:{}".format,
+    st.ip_addresses(v=4).map(str) | st.from_regex(r"[0-9.]{7,9}", fullmatch=True),
+    st.integers(0, 70_000) | st.from_regex(r"0?[0-9]{1,5}", fullmatch=True),
+)
+
+
+@FIXED
+@given(text=ADDRESSES)
+def test_quick_reading_of_an_address_agrees_with_ipaddress(text):
+    address = values.AddressValue()
+    quick = address.read(text)
+    with mock.patch.object(values, "_USUAL_ADDRESS", re.compile("(?!)")):
+        assert address.read(text) == quick
--- a/tests/unit/test_declarations.py
+++ b/tests/unit/test_declarations.py
@@ -1,3 +1,4 @@
+import json
 from pathlib import Path
 
 import pytest
@@ -206,6 +207,11 @@
     ('{"format":1,"kinds":{"x":{"keys":["name"],"rows":[["a"]]}}}', "unknown kind"),
 ]
 
+TWICE = {"keys": ["name", "between_data_centres_ms", "to_callers_ms"]}
+TWICE["rows"] = [["a", "1", "1"], ["a", "1", "1"]]
+TWICE_BODY = json.dumps({"format": 1, "kinds": {"region": TWICE}})
+BROKEN_BODIES.append((TWICE_BODY, "is declared at"))
+
 
 @pytest.mark.parametrize(("body", "message"), BROKEN_BODIES)
 def test_broken_body_is_a_finding(body, message):
