--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 
 from heatherpick.declarations import (
+    Deadline,
     DeclarationSet,
     Drains,
     Limit,
@@ -24,17 +25,17 @@
 
 @dataclass
 class FakeMembers:
-    """Members whose owners are set by the test; every other group is ``self``'s."""
+    """Members whose owners are set by the test; ``node_name`` owns the rest."""
 
     node_name: str
     owners: dict = field(default_factory=dict)
     shares: dict = field(default_factory=dict)
 
     def owner_of(self, group, now):
-        return self.owners.get(group, self.node_name)
+        return self.owners.get(group.name, self.node_name)
 
     def share_of(self, group, now):
-        return self.shares.get(group, FakeShare())
+        return self.shares.get(group.name, FakeShare())
 
 
 @dataclass
@@ -56,6 +57,7 @@
     return FakeDocuments(
         DeclarationSet(
             limits={limit.name: limit},
+            deadlines={"deadline": Deadline("deadline", 1010.0, 10.0)},
             upstreams=upstreams,
             shard_sets={"set": shard_set},
             services={"service": Service("service", "set", "deadline", **service)},
