--- /dev/null
+++ b/demo/processes.py
@@ -0,0 +1,139 @@
+"""Starts the processes of a demonstration and stops them again."""
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+import urllib.error
+import urllib.request
+
+__all__ = ["Processes", "StartError", "fetch_json", "take_port", "wait_until"]
+
+_HOST = "127.0.0.1"
+_START_SECONDS = 30.0
+_STOP_SECONDS = 15.0
+_POLL_SECONDS = 0.05
+_FETCH_SECONDS = 5.0
+_LOG_TAIL_LINES = 20
+
+
+class StartError(Exception):
+    """Raised when a process does not come up; the message holds its last words."""
+
+
+def take_port():
+    """Return a TCP port on loopback that is free at the moment."""
+    with socket.socket() as probe:
+        probe.bind((_HOST, 0))
+        return probe.getsockname()[1]
+
+
+def fetch_json(address, path):
+    """Return the JSON answer to a GET of ``path``, None if there is none."""
+    try:
+        url = f"http://{address}{path}"
+        with urllib.request.urlopen(url, timeout=_FETCH_SECONDS) as answer:
+            return json.loads(answer.read())
+    except (urllib.error.URLError, OSError, ValueError):
+        return None
+
+
+def wait_until(holds, what, seconds=_START_SECONDS):
+    """Wait until ``holds`` returns something true, and return that.
+
+    Raises
+    ------
+    StartError
+        If it does not within ``seconds``; the message names ``what``.
+    """
+    deadline = time.monotonic() + seconds
+    while time.monotonic() < deadline:
+        result = holds()
+        if result:
+            return result
+        time.sleep(_POLL_SECONDS)
+    raise StartError(f"{what}: not within {seconds:g} s")
+
+
+class Processes:
+    """Processes that are stopped together; use it as a context manager.
+
+    Parameters
+    ----------
+    directory : pathlib.Path
+        Where the processes' output goes, one file each.
+    """
+
+    def __init__(self, directory):
+        self._directory = directory
+        self._running = {}
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *exception):
+        self.stop(list(self._running))
+
+    def start(self, name, module, *arguments):
+        """Start ``python -m module arguments``, known as ``name`` from then on."""
+        command = [sys.executable, "-m", module, *map(str, arguments)]
+        with open(self._find_output(name), "wb") as output:
+            self._running[name] = subprocess.Popen(
+                command, stdout=output, stderr=subprocess.STDOUT
+            )
+
+    def start_announced(self, name, module, *arguments):
+        """Start a process and return the JSON line that it prints when it is up.
+
+        Raises
+        ------
+        StartError
+            If it ends or prints none in time.
+        """
+        self.start(name, module, *arguments)
+        return wait_until(lambda: self._read_announcement(name), f"start of {name}")
+
+    def check_running(self, name):
+        """Raise `StartError` if a process has ended."""
+        if self._running[name].poll() is not None:
+            lines = self._find_output(name).read_text().splitlines()
+            tail = "\n".join(lines[-_LOG_TAIL_LINES:])
+            raise StartError(f"{name} has ended:\n{tail}")
+
+    def stop(self, names):
+        """Ask processes to end by SIGTERM, wait, and return their exit codes.
+
+        A process that is still there after the wait is killed; its exit code is
+        then negative.
+        """
+        stopping = {name: self._running.pop(name) for name in names}
+        for process in stopping.values():
+            _send_signal(process, signal.SIGTERM)
+        deadline = time.monotonic() + _STOP_SECONDS
+        return {
+            name: _await_end(process, deadline) for name, process in stopping.items()
+        }
+
+    def _find_output(self, name):
+        return self._directory / f"{name}.output"
+
+    def _read_announcement(self, name):
+        self.check_running(name)
+        first = self._find_output(name).read_bytes().partition(b"\n")
+        return json.loads(first[0]) if first[1] else None
+
+
+def _send_signal(process, number):
+    if process.poll() is None:
+        os.kill(process.pid, number)
+
+
+def _await_end(process, deadline):
+    try:
+        return process.wait(max(0.0, deadline - time.monotonic()))
+    except subprocess.TimeoutExpired:
+        process.kill()
+        return process.wait()
