--- a/standins/lagging.py
+++ b/standins/lagging.py
@@ -13,7 +13,7 @@
     value : object
         What readers see at first.
     lag : float
-        Age of what readers see, in seconds.
+        Seconds until readers see a value. A change concerns later writes.
     """
 
     def __init__(self, value, lag):
@@ -29,13 +29,13 @@
     def write(self, value, now):
         """Set the value at the time ``now``, in seconds."""
         self._advance(now)
-        self._pending.append((now, value))
+        self._pending.append((now + self.lag, value))
 
     def read(self, now):
-        """Return the value as it was ``lag`` seconds before ``now``."""
+        """Return the newest value that readers see at the time ``now``."""
         self._advance(now)
         return self._seen
 
     def _advance(self, now):
-        while self._pending and self._pending[0][0] <= now - self.lag:
+        while self._pending and self._pending[0][0] <= now:
             self._seen = self._pending.popleft()[1]
