Members, documents and shares by votes: first running version

Shares follow from votes with leases; a change of members is settled in two writes. The stateful test still finds orders after which no owner is found within the recovery time, so this is not the finished state.

--- /dev/null
+++ b/src/heatherpick/_core/documents.py
@@ -0,0 +1,177 @@
+"""The newest version of each shared document that this node knows."""
+
+from dataclasses import dataclass
+
+from heatherpick._core.effects import SendPeer
+from heatherpick._core.membership import (
+    MEMBERSHIP_PREFIX,
+    Membership,
+    decode_membership,
+)
+from heatherpick._core.messages import DocumentReply, DocumentRequest
+from heatherpick.declarations import DeclarationSet, Drains
+
+__all__ = ["DECLARATIONS", "DRAINS", "Documents"]
+
+#: Name of the document that holds the checked declarations.
+DECLARATIONS = "shared/declarations"
+
+#: Name of the document that holds what operators have taken out of service.
+DRAINS = "shared/drains"
+
+#: Seconds after which an unanswered request for a document may be repeated.
+RETRY_S = 0.5
+
+#: Documents that a node keeps; a peer cannot make it hold more.
+N_DOCUMENTS = 256
+
+
+@dataclass(frozen=True, slots=True)
+class _Wanted:
+    version: int
+    peer: str
+    asked: float
+
+
+class Documents:
+    """Newest versions of the shared documents. A version is never lowered.
+
+    Attributes
+    ----------
+    declarations : DeclarationSet
+        Declarations in force; empty at first.
+    drains : Drains
+        Drains in force; none at first.
+    memberships : dict of str to Membership
+        Membership of each data centre that has one, by data centre.
+    generation : int
+        Rises whenever a document is learnt.
+    n_rejected : int
+        Documents that could not be decoded.
+    """
+
+    def __init__(self, name, data_centre, decode_declarations, decode_drains):
+        self.name = name
+        self.data_centre = data_centre
+        self.declarations = DeclarationSet()
+        self.drains = Drains()
+        self.memberships = {}
+        self.generation = 0
+        self.n_rejected = 0
+        self._decode_declarations = decode_declarations
+        self._decode_drains = decode_drains
+        self._bodies = {}
+        self._versions = ()
+        self._rejected = {}
+        self._wanted = {}
+
+    @classmethod
+    def from_settings(cls, name, data_centre, decode_declarations, decode_drains):
+        """Return the documents of a node that knows none yet.
+
+        Parameters
+        ----------
+        name, data_centre : str
+            Names of this node and of its data centre.
+        decode_declarations, decode_drains : callable
+            Take a body as text and give a `DeclarationSet` or `Drains`; any
+            exception means that the body is not one.
+        """
+        return cls(name, data_centre, decode_declarations, decode_drains)
+
+    def learn(self, name, version, body, now):
+        """Take in a document and return whether it is newer than the one held.
+
+        A body that does not decode is counted and changes nothing.
+        """
+        if version <= self.version_of(name):
+            return False
+        if version <= self._rejected.get(name, 0):
+            return False
+        if not self._is_known(name):
+            self.n_rejected += 1
+            return False
+        if not self._decode(name, version, body):
+            self._rejected[name] = version
+            self.n_rejected += 1
+            return False
+        self._bodies[name] = (version, body)
+        self._versions = tuple(
+            (each, held) for each, (held, _) in sorted(self._bodies.items())
+        )
+        self._wanted.pop(name, None)
+        self.generation += 1
+        return True
+
+    def get(self, name):
+        """Return the version and body of a document, ``(0, "")`` if it is unknown."""
+        return self._bodies.get(name, (0, ""))
+
+    def version_of(self, name):
+        """Return the version of a document that is held, 0 for none."""
+        return self.get(name)[0]
+
+    def versions(self):
+        """Return pairs of name and version of every document held, by name."""
+        return self._versions
+
+    def membership_of(self, data_centre):
+        """Return the `Membership` of a data centre, an empty one if unknown."""
+        return self.memberships.get(data_centre) or Membership()
+
+    def address_of(self, node):
+        """Return the ``ip:port`` at which a member takes peers, "" if unknown."""
+        for membership in self.memberships.values():
+            for member in membership.members:
+                if member.node == node:
+                    return member.address
+        return ""
+
+    def compare(self, peer, versions, now):
+        """Return requests for the documents of which a peer has a newer version."""
+        effects = []
+        for name, version in versions:
+            if self._may_ask(name, version, now):
+                self._wanted[name] = _Wanted(version, peer, now)
+                effects.append(SendPeer(peer, DocumentRequest(name)))
+        return effects
+
+    def answer(self, peer, request):
+        """Return the reply to a peer's `DocumentRequest`; nothing if unknown."""
+        version, body = self.get(request.name)
+        if version == 0:
+            return []
+        return [SendPeer(peer, DocumentReply(request.name, version, body))]
+
+    def describe(self):
+        """Return the versions held and the number of rejected bodies."""
+        return {"versions": dict(self._versions), "n_rejected": self.n_rejected}
+
+    def _is_known(self, name):
+        held = (self._bodies, self._rejected, self._wanted)
+        if name in (DECLARATIONS, DRAINS) or any(name in each for each in held):
+            return True
+        has_room = sum(len(each) for each in held) < N_DOCUMENTS
+        return has_room and name.startswith(MEMBERSHIP_PREFIX)
+
+    def _may_ask(self, name, version, now):
+        known = max(self.version_of(name), self._rejected.get(name, 0))
+        if version <= known or not self._is_known(name):
+            return False
+        wanted = self._wanted.get(name)
+        return wanted is None or now - wanted.asked >= RETRY_S
+
+    def _decode(self, name, version, body):
+        # The body comes from outside: whatever its decoder raises must cost this
+        # node the document and nothing else.
+        try:
+            if name == DECLARATIONS:
+                self.declarations = self._decode_declarations(body)
+            elif name == DRAINS:
+                self.drains = self._decode_drains(body)
+            else:
+                data_centre = name.removeprefix(MEMBERSHIP_PREFIX)
+                self.memberships[data_centre] = decode_membership(version, body)
+        except Exception:
+            return False
+        return True
--- /dev/null
+++ b/src/heatherpick/_core/membership.py
@@ -0,0 +1,220 @@
+"""The membership document of a data centre, and the changes that it can take.
+
+A change of the members is written in two steps. The first write keeps the members
+before the change as ``previous``; while they stand there, a share needs votes among
+both. The second write settles the change and drops ``previous``. Between the two,
+two nodes that know different documents still have one set of voters in common.
+"""
+
+from dataclasses import dataclass, replace
+from functools import cached_property
+
+import orjson
+
+from heatherpick.errors import InvalidArgument
+
+__all__ = [
+    "Member",
+    "Membership",
+    "decode_membership",
+    "encode_membership",
+    "name_membership",
+]
+
+#: Name prefix of the membership documents.
+MEMBERSHIP_PREFIX = "shared/members/"
+
+
+def name_membership(data_centre):
+    """Return the name of the membership document of ``data_centre``."""
+    return MEMBERSHIP_PREFIX + data_centre
+
+
+@dataclass(frozen=True, slots=True)
+class Member:
+    """One start of a node's process.
+
+    Parameters
+    ----------
+    node : str
+        Name of the node.
+    address : str
+        ``ip:port`` at which it takes peer connections.
+    incarnation : str
+        Unique for each start of the process.
+    """
+
+    node: str
+    address: str
+    incarnation: str
+
+
+@dataclass(frozen=True)
+class Membership:
+    """A version of a membership document.
+
+    Parameters
+    ----------
+    epoch : int
+        Version of the object; 0 when it does not exist.
+    members : tuple of Member
+        Members, by name of the node.
+    ghosts : tuple of Member
+        Former members that may still act on an older document.
+    previous : tuple of str
+        Incarnations of the members before the change that is not settled yet;
+        empty when the membership is settled.
+    gone : frozenset of str
+        Incarnations that are proved to have ended.
+    """
+
+    epoch: int = 0
+    members: tuple[Member, ...] = ()
+    ghosts: tuple[Member, ...] = ()
+    previous: tuple[str, ...] = ()
+    gone: frozenset[str] = frozenset()
+
+    @cached_property
+    def universe(self):
+        """Members and ghosts in the order of the bits of a heartbeat."""
+        everybody = self.members + self.ghosts
+        return tuple(sorted(everybody, key=lambda each: (each.node, each.incarnation)))
+
+    @cached_property
+    def bits(self):
+        """Position of each incarnation in `universe`."""
+        return {each.incarnation: bit for bit, each in enumerate(self.universe)}
+
+    @cached_property
+    def by_incarnation(self):
+        """The `Member` of each incarnation that is a member."""
+        return {each.incarnation: each for each in self.members}
+
+    @cached_property
+    def quorums(self):
+        """Sets of incarnations, in each of which a share needs votes."""
+        current = frozenset(self.by_incarnation)
+        if not self.previous:
+            return (current,)
+        return (current, frozenset(self.previous))
+
+    def add(self, member):
+        """Return the membership with ``member`` in place of its earlier starts."""
+        if member.incarnation in self.by_incarnation:
+            return self
+        replaced = [
+            each
+            for each in self.universe
+            if each.node == member.node and each.incarnation != member.incarnation
+        ]
+        ended = {each.incarnation for each in replaced}
+        kept = [each for each in self.members if each.incarnation not in ended]
+        return self._change([*kept, member], self.gone | ended)
+
+    def remove(self, incarnations, ended=()):
+        """Return the membership without some members.
+
+        ``ended`` are the incarnations of members and ghosts that are proved to have
+        ended, whether they are removed by this change or were before.
+        """
+        kept = [each for each in self.members if each.incarnation not in incarnations]
+        return self._change(kept, self.gone | frozenset(ended))
+
+    def settle(self):
+        """Return the membership once nobody acts on the one before."""
+        return Membership(self.epoch, self.members)
+
+    def _change(self, members, gone):
+        members = tuple(sorted(members, key=lambda each: each.node))
+        if members == self.members and gone == self.gone:
+            return self
+        present = {each.incarnation for each in members}
+        ghosts = tuple(
+            each for each in self.universe if each.incarnation not in present
+        )
+        previous = self.previous or tuple(sorted(self.by_incarnation))
+        return replace(
+            self,
+            members=members,
+            ghosts=ghosts,
+            previous=previous,
+            gone=frozenset(each for each in gone if each not in present),
+        )
+
+
+def encode_membership(membership):
+    """Return the body of a membership document as text."""
+    body = {
+        "members": [_encode_member(each) for each in membership.members],
+        "ghosts": [_encode_member(each) for each in membership.ghosts],
+        "previous": list(membership.previous),
+        "gone": sorted(membership.gone),
+    }
+    return orjson.dumps(body).decode()
+
+
+def decode_membership(epoch, body):
+    """Return the `Membership` of a document's version and body.
+
+    Raises
+    ------
+    InvalidArgument
+        When the body is not a membership document.
+    """
+    if not body:
+        return Membership(epoch)
+    try:
+        fields = orjson.loads(body)
+        membership = Membership(
+            epoch,
+            tuple(_decode_member(each) for each in fields["members"]),
+            tuple(_decode_member(each) for each in fields.get("ghosts", ())),
+            tuple(_check_text(each) for each in fields.get("previous", ())),
+            frozenset(_check_text(each) for each in fields.get("gone", ())),
+        )
+    except (AttributeError, KeyError, TypeError, ValueError) as error:
+        raise InvalidArgument(
+            f"membership document {epoch} cannot be read ({error!r}): remove the "
+            "object; the nodes write it again as they start"
+        ) from error
+    _check_unique(membership)
+    return membership
+
+
+def _encode_member(member):
+    return {
+        "node": member.node,
+        "address": member.address,
+        "incarnation": member.incarnation,
+    }
+
+
+def _decode_member(fields):
+    return Member(
+        _check_text(fields["node"]),
+        _check_text(fields["address"]),
+        _check_text(fields["incarnation"]),
+    )
+
+
+def _check_text(value):
+    if not isinstance(value, str) or not value:
+        raise ValueError(f"{value!r} is not a text")
+    return value
+
+
+def _check_unique(membership):
+    incarnations = {each.incarnation for each in membership.universe}
+    nodes = {each.node for each in membership.members}
+    is_unique = len(incarnations) == len(membership.universe)
+    if not is_unique or len(nodes) != len(membership.members):
+        raise InvalidArgument(
+            f"membership document {membership.epoch} names a node twice: remove the "
+            "object; the nodes write it again as they start"
+        )
+    unknown = (set(membership.previous) | membership.gone) - incarnations
+    if unknown:
+        raise InvalidArgument(
+            f"membership document {membership.epoch} refers to {min(unknown)!r}, "
+            "which it does not describe: remove the object"
+        )
--- a/src/heatherpick/_core/messages.py
+++ b/src/heatherpick/_core/messages.py
@@ -61,20 +61,44 @@
 
 @dataclass(frozen=True, slots=True)
 class Heartbeat:
-    """Liveness between two members of one data centre.
-
-    ``sequence`` counts the sender's heartbeats to this receiver; ``echo`` is the
-    last sequence that the sender had from the receiver (0 for none); ``epoch`` is
-    the sender's membership version; ``heard`` names the members that the sender
-    has heard within the suspicion time; ``leaving`` is set from the start of a
-    planned stop and ``released`` once the sender admits nothing any more;
-    ``versions`` are the sender's document versions by name.
+    """Liveness, votes and document versions of the sender.
+
+    Parameters
+    ----------
+    link : int
+        Hash of the incarnations of sender and receiver; tells which start of the
+        sender it is of and that it is meant for this start of the receiver.
+    sequence : int
+        Counts the sender's heartbeats to this receiver from 1.
+    echo : int
+        Last sequence that the sender had from the receiver; 0 for none.
+    epoch : int
+        Version of the membership document of the sender's data centre.
+    settled, unsettled : bytes
+        Bit sets, little endian, over the `Membership.universe` of that epoch. The
+        sender's vote for a group goes to the first by rank in either set, if that
+        one is settled, otherwise to nobody.
+    grouping : int
+        Hash of the groups of upstreams that the votes are for.
+    over : bool
+        Whether calls may still be running that the sender's present shares would
+        not permit.
+    leaving : bool
+        Set from the start of a planned stop.
+    released : bool
+        Set once a leaving sender sends nothing to upstreams any more.
+    versions : tuple of tuple of (str, int)
+        Document versions of which the receiver may not know.
     """
 
+    link: int
     sequence: int
     echo: int
     epoch: int
-    heard: tuple[str, ...]
+    settled: bytes
+    unsettled: bytes
+    grouping: int
+    over: bool
     leaving: bool
     released: bool
     versions: tuple[tuple[str, int], ...]
--- /dev/null
+++ b/src/heatherpick/_core/shares.py
@@ -0,0 +1,65 @@
+"""The rule that bounds what several nodes admit to one upstream together."""
+
+from dataclasses import dataclass
+from enum import IntEnum
+
+__all__ = ["Level", "Share", "weigh"]
+
+
+class Level(IntEnum):
+    """How much of an upstream's limit a node may use."""
+
+    NONE = 0
+    LOWER_HALF = 1
+    UPPER_HALF = 2
+    FULL = 3
+
+
+@dataclass(frozen=True, slots=True)
+class Share:
+    """A node's share of the limit of each upstream of a group."""
+
+    level: Level = Level.NONE
+
+    def limit(self, n_slots):
+        """Return how many of ``n_slots`` this node may use.
+
+        >>> [Share(level).limit(3) for level in Level]
+        [0, 1, 2, 3]
+        """
+        if self.level is Level.FULL:
+            return n_slots
+        if self.level is Level.UPPER_HALF:
+            return (n_slots + 1) // 2
+        if self.level is Level.LOWER_HALF:
+            return n_slots // 2
+        return 0
+
+
+def weigh(n_votes, n_voters, has_first):
+    """Return the `Level` that some of the votes for one group give.
+
+    However the votes are dealt out among nodes, their shares add up to no more
+    than the limit: beside two thirds of the votes nobody has more than a third; at
+    most two nodes have more than a third each; and of two such nodes at most one
+    has more than half, or half and the first voter's.
+
+    Parameters
+    ----------
+    n_votes : int
+        Votes that the node holds.
+    n_voters : int
+        Voters, whether or not they can be heard.
+    has_first : bool
+        Whether the vote of the group's first voter is among them; it decides when
+        the votes are cut in two halves.
+    """
+    if n_votes == 0:
+        return Level.NONE
+    if 3 * n_votes >= 2 * n_voters:
+        return Level.FULL
+    if 2 * n_votes > n_voters or (2 * n_votes == n_voters and has_first):
+        return Level.UPPER_HALF
+    if 3 * n_votes > n_voters:
+        return Level.LOWER_HALF
+    return Level.NONE
