--- a/src/heatherpick/_shell/codec.py
+++ b/src/heatherpick/_shell/codec.py
@@ -134,91 +134,115 @@
     return None
 
 
+class _WrongType(Exception):
+    """Raised when a decoded value is not of its field's type."""
+
+
 def _build_decoder(cls):
     hints = get_type_hints(cls)
-    names = tuple(each.name for each in fields(cls))
-    checks = tuple(_build_check(hints[name]) for name in names)
-    n_fields = len(names)
+    names = [each.name for each in fields(cls)]
+    wire_types = tuple(_choose_wire_type(hints[name]) for name in names)
+    converters = {
+        index: convert
+        for index, name in enumerate(names)
+        if (convert := _build_converter(hints[name])) is not None
+    }
 
     def decode(values):
-        if type(values) is not tuple or len(values) != n_fields:
-            raise FrameError(f"{cls.__name__} has {n_fields} fields")
+        # All types are compared at once: one comparison for each field would cost
+        # more than msgpack itself.
+        if type(values) is not tuple or tuple(map(type, values)) != wire_types:
+            values = _widen_numbers(cls, values, wire_types)
+        if not converters:
+            return cls(*values)
+        values = list(values)
         try:
-            checked = [
-                check(value) for check, value in zip(checks, values, strict=True)
-            ]
+            for index, convert in converters.items():
+                values[index] = convert(values[index])
         except _WrongType as error:
             raise FrameError(f"{cls.__name__} holds {error}") from error
-        return cls(*checked)
+        return cls(*values)
 
     return decode
 
 
-class _WrongType(Exception):
-    """Raised when a decoded value is not of its field's type."""
+def _choose_wire_type(hint):
+    """Return the type that msgpack gives for a field."""
+    if is_dataclass(hint) or get_origin(hint) is tuple:
+        return tuple
+    if issubclass(hint, IntEnum):
+        return int
+    return hint
+
 
+def _widen_numbers(cls, values, wire_types):
+    """Return the values with whole numbers made floats where a float belongs."""
+    if type(values) is not tuple or len(values) != len(wire_types):
+        raise FrameError(f"{cls.__name__} has {len(wire_types)} fields")
+    widened = [
+        float(value) if wire_type is float and type(value) is int else value
+        for value, wire_type in zip(values, wire_types, strict=True)
+    ]
+    if tuple(map(type, widened)) != wire_types:
+        found = ", ".join(type(value).__name__ for value in values)
+        raise FrameError(f"{cls.__name__} does not hold ({found})")
+    return widened
 
-def _build_check(hint):
+
+def _build_converter(hint):
+    """Return what is left to do for a value of its wire type, or None."""
     if is_dataclass(hint):
         return _build_decoder(hint)
-    if isinstance(hint, type) and issubclass(hint, IntEnum):
-        return _build_enum_check(hint)
-    if hint is float:
-        return _check_float
     if get_origin(hint) is tuple:
-        return _build_tuple_check(get_args(hint))
-    return _build_type_check(hint)
-
+        return _build_tuple_converter(get_args(hint))
+    if issubclass(hint, IntEnum):
+        return _build_enum_converter(hint)
+    return _check_finite if hint is float else None
 
-def _build_type_check(expected):
-    def check(value):
-        if type(value) is not expected:
-            raise _WrongType(f"{type(value).__name__} in place of {expected.__name__}")
-        return value
 
-    return check
-
-
-def _check_float(value):
-    if type(value) is int:
-        value = float(value)
-    if type(value) is not float or not isfinite(value):
-        raise _WrongType(f"{value!r:.40} in place of a finite number")
+def _check_finite(value):
+    if not isfinite(value):
+        raise _WrongType(f"{value!r} in place of a finite number")
     return value
 
 
-def _build_enum_check(enum):
+def _build_enum_converter(enum):
     members = {int(member): member for member in enum}
 
-    def check(value):
-        member = members.get(value) if type(value) is int else None
+    def convert(value):
+        member = members.get(value)
         if member is None:
-            raise _WrongType(f"{value!r:.40} in place of {enum.__name__}")
+            raise _WrongType(f"{value} in place of {enum.__name__}")
         return member
 
-    return check
+    return convert
 
 
-def _build_tuple_check(args):
+def _build_tuple_converter(args):
     if args[-1] is Ellipsis:
-        return _build_sequence_check(_build_check(args[0]))
-    checks = tuple(_build_check(arg) for arg in args)
+        return _build_items_converter(args[0])
+    wire_types = tuple(_choose_wire_type(arg) for arg in args)
+
+    def convert(values):
+        if tuple(map(type, values)) != wire_types:
+            raise _WrongType(f"no tuple of {len(wire_types)} values")
+        return values
 
-    def check(value):
-        if type(value) is not tuple or len(value) != len(checks):
-            raise _WrongType(f"no tuple of {len(checks)}")
-        return tuple(each(item) for each, item in zip(checks, value, strict=True))
+    return convert
 
-    return check
 
+def _build_items_converter(hint):
+    wire_type = _choose_wire_type(hint)
+    convert_item = _build_converter(hint)
 
-def _build_sequence_check(check_item):
-    def check(value):
-        if type(value) is not tuple:
-            raise _WrongType(f"{type(value).__name__} in place of a tuple")
-        return tuple([check_item(item) for item in value])
+    def convert(values):
+        if any(type(value) is not wire_type for value in values):
+            raise _WrongType(f"other items than {wire_type.__name__}")
+        if convert_item is None:
+            return values
+        return tuple([convert_item(value) for value in values])
 
-    return check
+    return convert
 
 
 _ENCODERS = {cls: _build_encoder(cls) for cls in _TAGS}
