--- a/src/heatherpick/_shell/logs.py
+++ b/src/heatherpick/_shell/logs.py
@@ -2,7 +2,13 @@
 
 import sys
 
-from eliot import FileDestination, add_destinations, log_message, start_action
+from eliot import (
+    FileDestination,
+    add_destinations,
+    log_message,
+    remove_destination,
+    start_action,
+)
 from twisted.logger import LogLevel, formatEvent, globalLogBeginner
 
 from heatherpick._core.effects import Log
@@ -25,7 +31,8 @@
 
     def __init__(self, file, node):
         self._node = node
-        add_destinations(FileDestination(file=file))
+        self._destination = FileDestination(file=file)
+        add_destinations(self._destination)
 
     @classmethod
     def from_settings(cls, settings):
@@ -39,6 +46,10 @@
         """Dict of effect type to the method that carries it out."""
         return {Log: lambda effect: self.report(effect.message, **dict(effect.fields))}
 
+    def close(self):
+        """Write no more."""
+        remove_destination(self._destination)
+
     def report(self, message, **fields):
         """Write one line.
 
--- a/src/heatherpick/_shell/traces.py
+++ b/src/heatherpick/_shell/traces.py
@@ -138,14 +138,14 @@
             return
         # Times of the clock are not times of the day; the difference is read at
         # each span, as the day's time may be set while the process runs.
-        shift_s = time.time() - self._clock.seconds()
+        shift_ns = time.time_ns() - _to_ns(self._clock.seconds())
         span = self._tracer.start_span(
             effect.name,
             context=context,
             attributes=dict(effect.attributes),
-            start_time=int((effect.started + shift_s) * NS_PER_S),
+            start_time=_to_ns(effect.started) + shift_ns,
         )
-        span.end(int((effect.ended + shift_s) * NS_PER_S))
+        span.end(_to_ns(effect.ended) + shift_ns)
 
     def close(self):
         """Write what is left and close the file."""
@@ -187,6 +187,10 @@
     return SimpleSpanProcessor(LineExporter())
 
 
+def _to_ns(time_s):
+    return int(time_s * NS_PER_S)
+
+
 def _read_context(traceparent):
     if not traceparent:
         return None
