--- a/src/heatherpick/_core/admission.py
+++ b/src/heatherpick/_core/admission.py
@@ -45,10 +45,14 @@
         Gives ``declarations`` and ``drains``.
     members : Members
         Gives ``owner_of(group, now)`` and ``share_of(group, now)``.
+    longest_call_s : float
+        Longest time that a call of legs may take. A successor counts on it: by then
+        nothing of a node whose votes have lapsed is at an upstream any more.
     """
 
-    def __init__(self, node_name, documents, members):
+    def __init__(self, node_name, documents, members, longest_call_s):
         self._node_name = node_name
+        self._longest_call_ms = longest_call_s * 1000.0
         self._documents = documents
         self._members = members
         self._declarations = documents.declarations
@@ -62,9 +66,9 @@
         self._is_leaving = False
 
     @classmethod
-    def from_parts(cls, node_name, documents, members):
+    def from_parts(cls, node_name, documents, members, longest_call_s):
         """Return the admission of a node that owns nothing yet."""
-        return cls(node_name, documents, members)
+        return cls(node_name, documents, members, longest_call_s)
 
     def accept(self, source_node, batch, now):
         """Take in a `LegBatch` of ``source_node``; returns effects."""
@@ -366,7 +370,8 @@
 
     def _start_call(self, slots, legs, now):
         call_id = next(self._call_ids)
-        timeout_ms = (max(leg.deadline for leg in legs) - now) * 1000
+        remaining_ms = (max(leg.deadline for leg in legs) - now) * 1000
+        timeout_ms = min(remaining_ms, self._longest_call_ms)
         call = UpstreamCall(call_id, slots, legs, now, timeout_ms, len(legs))
         self._calls[call_id] = call
         slots.n_in_flight += 1
--- a/src/heatherpick/_core/timings.py
+++ b/src/heatherpick/_core/timings.py
@@ -9,6 +9,14 @@
 #: Seconds by which two nodes may disagree about the length of a suspicion time.
 CLOCK_MARGIN_S = 0.2
 
+#: Heartbeats that must fit into the time for which a vote counts, with some delay.
+HEARTBEATS_TO_AGREE = 2.2
+
+#: Suspicion times after which a member is removed.
+REMOVE_FACTOR = 2.0
+
+MS_PER_S = 1000.0
+
 
 @dataclass(frozen=True, slots=True)
 class Timings:
@@ -64,3 +72,17 @@
                 f"suspect_s is {self.suspect_s}: set it to {least} or more, which is "
                 "agree_s, longest_call_s and the margin for clocks"
             )
+
+    @classmethod
+    def from_settings(cls, settings):
+        """Return the times that a node's `NodeSettings` give."""
+        agree_s = settings.agree_within_ms / MS_PER_S
+        suspect_s = settings.suspect_after_ms / MS_PER_S
+        return cls(
+            heartbeat_s=settings.heartbeat_ms / MS_PER_S,
+            slow_heartbeat_s=agree_s / HEARTBEATS_TO_AGREE,
+            agree_s=agree_s,
+            longest_call_s=suspect_s - agree_s - CLOCK_MARGIN_S,
+            suspect_s=suspect_s,
+            remove_s=REMOVE_FACTOR * suspect_s,
+        )
--- a/src/heatherpick/_settings/node.py
+++ b/src/heatherpick/_settings/node.py
@@ -21,6 +21,10 @@
 #: Heartbeats that may get lost before two nodes stop agreeing.
 N_HEARTBEATS_TO_AGREE = 2
 
+#: Least distance between suspicion and the end of agreement: what two clocks may
+#: disagree by, and a call to an upstream of useful length.
+LEAST_DISTANCE_MS = 450
+
 NODE_VALUES = {
     "name": NameValue(),
     "data_centre": NameValue(),
@@ -81,7 +85,7 @@
     platform_address: str
     seed_peers: tuple[tuple[str, str], ...] = ()
     heartbeat_ms: int = 500
-    suspect_after_ms: int = 2_000
+    suspect_after_ms: int = 2_500
     agree_within_ms: int = 1_500
     log_path: str = "-"
     trace_path: str = ""
@@ -162,10 +166,12 @@
             f"{settings.agree_within_ms} is less than {N_HEARTBEATS_TO_AGREE} times "
             f"heartbeat_ms {settings.heartbeat_ms}; raise it",
         )
-    if settings.suspect_after_ms <= settings.agree_within_ms:
+    least_ms = settings.agree_within_ms + LEAST_DISTANCE_MS
+    if settings.suspect_after_ms < least_ms:
         findings.add(
             section.find_place("suspect_after_ms"),
             f"[{NODE_SECTION}] suspect_after_ms",
-            f"{settings.suspect_after_ms} does not exceed agree_within_ms "
-            f"{settings.agree_within_ms}; raise it above",
+            f"{settings.suspect_after_ms} is less than agree_within_ms "
+            f"{settings.agree_within_ms} and {LEAST_DISTANCE_MS} for the last call; "
+            f"set it to {least_ms} or more",
         )
--- a/tests/unit/test_admission.py
+++ b/tests/unit/test_admission.py
@@ -22,7 +22,7 @@
 def build(limit=LIMIT):
     documents = build_documents(limit=limit)
     members = FakeMembers("owner")
-    return Admission.from_parts("owner", documents, members), documents, members
+    return Admission.from_parts("owner", documents, members, 0.8), documents, members
 
 
 def batch(request_id, *upstreams, remaining_ms=200.0, priority=0):
--- a/tests/unit/test_node_settings.py
+++ b/tests/unit/test_node_settings.py
@@ -55,7 +55,7 @@
     ("heartbeat_ms = 9", "'9' is not a whole number from 10 to 10000"),
     ("heartbeat_ms = 1.5", "'1.5' is not a whole number"),
     ("agree_within_ms = 999", "999 is less than 2 times heartbeat_ms 500"),
-    ("suspect_after_ms = 1500", "1500 does not exceed agree_within_ms 1500"),
+    ("suspect_after_ms = 1500", "1500 is less than agree_within_ms 1500"),
     ("max_body_bytes = 9999999999999999999", "is not a whole number"),
     ("log_path =", "'' is not one line of text"),
 ]
