--- a/src/heatherpick/_shell/callers.py
+++ b/src/heatherpick/_shell/callers.py
@@ -247,13 +247,9 @@
             return _write_json(request, HTTP_SERVER_ERROR, {"error": "hits: not JSON"})
 
     def _count_answer(self, effect, outcome):
-        count = self._metrics.count
-        count("answers", outcome)
+        self._metrics.count("answers", outcome)
         if effect.outcome is Outcome.NOT_RUN:
-            count("refusals", effect.reason)
-        if effect.n_shards:
-            count("shards_asked", "", effect.n_shards)
-            count("shards_covered", "", effect.n_covered)
+            self._metrics.count("refusals", effect.reason)
 
     def _lose(self, request_id):
         opened = self._open.pop(request_id, None)
--- a/src/heatherpick/_shell/metrics.py
+++ b/src/heatherpick/_shell/metrics.py
@@ -107,7 +107,7 @@
         for (name, label), durations in sorted(
             self._histograms.items(), key=lambda item: item[0]
         ):
-            full_name = f"{PREFIX}_{_clean(name)}_ms"
+            full_name = f"{PREFIX}_{_clean(name.removesuffix('_ms'))}_ms"
             if name != previous:
                 lines.append(f"# TYPE {full_name} summary")
             previous = name
--- a/tests/unit/test_shell_telemetry.py
+++ b/tests/unit/test_shell_telemetry.py
@@ -105,6 +105,6 @@
     metrics = Metrics()
     for index in range(10):
         metrics.count("refusals", f"reason {index}")
-        metrics.observe("leg", f"upstream {index}", 1.0)
+        metrics.observe("leg_ms", f"upstream {index}", 1.0)
     assert 'heatherpick_refusals_total{label="other"} 7' in metrics.format()
     assert 'heatherpick_leg_ms_count{label="other"} 7' in metrics.format()
