--- a/standins/caller.py
+++ b/standins/caller.py
@@ -12,6 +12,7 @@
 from pathlib import Path
 
 import orjson
+import treq
 from twisted.internet import error
 from twisted.internet.defer import (
     Deferred,
@@ -26,7 +27,6 @@
     FileBodyProducer,
     HTTPConnectionPool,
     RequestNotSent,
-    readBody,
 )
 from twisted.web.http_headers import Headers
 
@@ -196,7 +196,7 @@
 
 
 def _read_whole(response):
-    return readBody(response).addCallback(lambda body: (response.code, body))
+    return treq.content(response).addCallback(lambda body: (response.code, body))
 
 
 def _read_answer(request, status, body, record):
--- a/tests/unit/test_standin_caller.py
+++ b/tests/unit/test_standin_caller.py
@@ -50,7 +50,7 @@
 
 
 class Response:
-    phrase = b""
+    length = 1
 
     def __init__(self, code, content):
         self.code = code
