Refused legs wait longer from round to round; the stage is read without a machine

Ruled out: giving up early, since a hand-over of groups looks the same for a while. Change: the wait doubles from 8 to 40 ms; Lifecycle keeps its stage as a value.

--- a/src/heatherpick/_core/lifecycle.py
+++ b/src/heatherpick/_core/lifecycle.py
@@ -94,17 +94,19 @@
 
     Requests go on being taken until the balancer has had time to notice; a caller
     that it still sends in between is served, not refused.
+
+    Attributes
+    ----------
+    stage : str
+        Name of the stage.
     """
 
     def __init__(self):
         self._machine = _MACHINE(_Nothing())
+        # Read at every event, so it is kept beside the machine.
+        self.stage = self._machine.name()
         self._finish_by = None
 
-    @property
-    def stage(self):
-        """Name of the stage."""
-        return self._machine.name()
-
     @property
     def accepts(self):
         """Whether callers' requests are taken."""
@@ -117,13 +119,13 @@
 
     def open(self):
         """Take callers from now on; return effects."""
-        return self._machine.open()
+        return self._step(self._machine.open)
 
     def stop(self, now):
         """Begin a planned stop; return effects."""
         if self._finish_by is None:
             self._finish_by = now + (SETTLE_MS + FINISH_MS) / 1000.0
-        return self._machine.stop()
+        return self._step(self._machine.stop)
 
     def timer(self, name, is_idle, now):
         """Take the next step of a stop; return effects.
@@ -138,7 +140,12 @@
             Time in seconds.
         """
         if name == _SETTLED:
-            return self._machine.settle()
+            return self._step(self._machine.settle)
         if is_idle or now >= self._finish_by:
-            return self._machine.finish()
+            return self._step(self._machine.finish)
         return [SetTimer(_CHECK, CHECK_MS)]
+
+    def _step(self, move):
+        effects = move()
+        self.stage = self._machine.name()
+        return effects
--- a/src/heatherpick/_core/queries.py
+++ b/src/heatherpick/_core/queries.py
@@ -69,6 +69,8 @@
     refused: dict[int, set[str]] = field(default_factory=dict)
     waiting: set[int] = field(default_factory=set)
     n_legs: int = 0
+    n_retry_rounds: int = 0
+    retry_at: float = 0.0
     started_work: bool = False
     moved: bool = False
     wants_move: bool = False
--- a/src/heatherpick/_core/searches.py
+++ b/src/heatherpick/_core/searches.py
@@ -35,8 +35,11 @@
 TAIL_PATIENCE = 0.75
 #: Attempts at one shard within one query that may have reached an upstream.
 MAX_ATTEMPTS = 5
-#: Wait before a shard that nobody admitted is tried again, in milliseconds.
+#: Wait before a shard that nobody admitted is tried again, in milliseconds. It
+#: doubles with each round, so that refusals do not become the load.
 RETRY_MS = 8.0
+#: Longest such wait, in milliseconds.
+LONGEST_RETRY_MS = 40.0
 #: Age at which an open leg is first suspected, in milliseconds, before any is known.
 INITIAL_HEDGE_MS = 30.0
 #: Earliest hedge, in milliseconds.
@@ -192,9 +195,11 @@
             return []
         if now >= query.answer_at or self._may_settle(query, now):
             return self._answer(query, now)
-        query.refused.clear()
-        waiting = sorted(query.waiting)
-        effects = self._send_shards(query, waiting, now)
+        effects = []
+        if query.waiting and now >= query.retry_at:
+            query.refused.clear()
+            query.n_retry_rounds += 1
+            effects = self._send_shards(query, sorted(query.waiting), now)
         effects.extend(self._hedge(query, now))
         return effects + self._arm(query, now)
 
@@ -437,7 +442,9 @@
         if now < query.settle_at:
             due = query.settle_at
         if query.waiting:
-            due = min(due, now + RETRY_MS / 1000.0)
+            if query.retry_at <= now:
+                query.retry_at = now + _get_retry_wait(query.n_retry_rounds)
+            due = min(due, query.retry_at)
         if query.open_legs:
             age_s = self._pace(query.service).age_ms.value / 1000.0
             oldest = min(leg.sent for leg in query.open_legs.values())
@@ -489,6 +496,10 @@
         ]
 
 
+def _get_retry_wait(n_rounds):
+    return min(RETRY_MS * 2.0**n_rounds, LONGEST_RETRY_MS) / 1000.0
+
+
 def _refuse(request_id, reason):
     return AnswerCaller(request_id, Outcome.NOT_RUN, reason)
 
