--- a/src/heatherpick/_core/admission.py
+++ b/src/heatherpick/_core/admission.py
@@ -168,6 +168,14 @@
         n_ahead = len(slots.users) * slots.ramp.n_legs
         return "overload" if slots.is_too_late(n_ahead, remaining_s, allowance) else ""
 
+    def has_free_slot(self, upstream, now):
+        """Return whether `reserve_slot` would grant a slot at once."""
+        slots = self._slots_of(upstream, now)
+        if self._refusal_of(slots) or slots.users:
+            return False
+        allowance, _ = self._allowance(slots, now)
+        return slots.n_in_flight < allowance
+
     def reserve_slot(self, upstream, user, now):
         """Take a slot for a `SlotUser`, now or before any leg; returns effects."""
         effects = self._refresh(now)
--- a/src/heatherpick/_core/claim_buckets.py
+++ b/src/heatherpick/_core/claim_buckets.py
@@ -177,6 +177,7 @@
 
     def end_write(self, version):
         """Note that the write took effect."""
+        self._keep_trace()
         self._learn(version, self._writing)
 
     def end_read(self, version, body, now):
@@ -195,8 +196,8 @@
         """Note that the platform did not answer."""
         if self._writing is not None and was_sent:
             self._unsettled = self.version
-        for change in self.changes:
-            change.may_be_written |= change.is_in_write and was_sent
+        if was_sent:
+            self._keep_trace()
         self._end_request()
         self.table = None
         pause_s = FIRST_PAUSE_S * 2 ** min(self.n_failures, 8)
@@ -218,6 +219,10 @@
         self._table_request = self._n_requests
         self.n_failures = 0
 
+    def _keep_trace(self):
+        for change in self.changes:
+            change.may_be_written |= change.is_in_write
+
     def _end_request(self):
         self._busy = False
         self._writing = None
--- a/src/heatherpick/_core/order_entry.py
+++ b/src/heatherpick/_core/order_entry.py
@@ -93,7 +93,6 @@
         deadline = now + (total_ms - declared.margin_ms) / 1000
         request = _OpenRequest(event, now, deadline)
         self._requests[event.request_id] = request
-        # Written so that a value that is no number counts as too late.
         self._send(request, "no owner reachable" if deadline > now else "deadline", now)
         if event.request_id in self._requests:
             self._out += self._deadlines.add(request, deadline, now)
@@ -141,7 +140,7 @@
     def _send(self, request, reason, now):
         """Send a request to the next node, or answer that none is left."""
         node = self._choose(request, now)
-        if not node or len(request.tried) >= N_TRIES or not now < request.deadline:
+        if not node or len(request.tried) >= N_TRIES or now >= request.deadline:
             self._answer(request, Outcome.NOT_RUN, reason, "", now)
             return
         request.node = node
--- a/src/heatherpick/_core/order_keeper.py
+++ b/src/heatherpick/_core/order_keeper.py
@@ -265,6 +265,7 @@
     def _choose(self, order, now):
         """Return the best upstream for an order, or "" and the reason for none."""
         declarations = self._documents.declarations
+        usable = []
         reason = "no upstream"
         for name in rank_replicas(declarations, order.call.service, order.key):
             if name in order.tried:
@@ -274,9 +275,11 @@
                 reason = "not owner"
                 continue
             reason = self._slots.check_slot(name, order.deadline - now, now)
-            if not reason:
+            if not reason and self._slots.has_free_slot(name, now):
                 return name, ""
-        return "", reason
+            if not reason:
+                usable.append(name)
+        return (usable[0], "") if usable else ("", reason)
 
     def _send_result(self, node, request_id, outcome, receipt, reason):
         label = reason or outcome.name.lower()
