--- /dev/null
+++ b/bench/__main__.py
@@ -0,0 +1,81 @@
+"""Runs the experiments: ``python -m bench [--quick] [--only NAME]``.
+
+Each figure is one line of JSON on standard output as soon as it is known; a table
+of all follows on standard error. A full run also draws the plots and keeps the
+lines beside them. The exit code is 1 if an experiment could not be run; a missed
+target is no such failure, it is told by ``holds``.
+"""
+
+import argparse
+import signal
+import sys
+import time
+import traceback
+from pathlib import Path
+
+from bench.context import Context
+from bench.tables import format_table
+from bench.tail import measure_tail
+
+__all__ = ["EXPERIMENTS", "main"]
+
+#: What can be run, in this order.
+EXPERIMENTS = {"tail": measure_tail}
+
+_FIGURES = Path("docs/figures")
+_LINES = "bench.jsonl"
+
+
+def build_parser():
+    """Return the parser of the command line."""
+    parser = argparse.ArgumentParser(prog="python -m bench")
+    add = parser.add_argument
+    add("--quick", action="store_true", help="fewer repeats, no plots")
+    add("--only", choices=EXPERIMENTS, action="append", help="run just this one")
+    add("--seed", type=int, default=1)
+    add("--figures", type=Path, help="directory of plots and lines")
+    return parser
+
+
+def main(arguments=None):
+    """Run the experiments and return the exit code."""
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
+    options = build_parser().parse_args(arguments)
+    figures = options.figures
+    if figures is None and not options.quick:
+        figures = _FIGURES
+    context = Context(options.seed, options.quick, figures)
+    results = []
+    n_failed = 0
+    for name in options.only or EXPERIMENTS:
+        n_failed += not _run_experiment(name, context, results)
+    print(format_table(results), file=sys.stderr)
+    if figures and not options.only:
+        _keep_lines(figures, results)
+    return 1 if n_failed else 0
+
+
+def _run_experiment(name, context, results):
+    started = time.monotonic()
+    try:
+        for result in EXPERIMENTS[name](context):
+            print(result.to_line(), flush=True)
+            results.append(result)
+    except Exception:
+        traceback.print_exc()
+        print(f"experiment {name} could not be run", file=sys.stderr)
+        return False
+    finally:
+        elapsed = time.monotonic() - started
+        print(f"{name}: {elapsed:.0f} s", file=sys.stderr)
+    return True
+
+
+def _keep_lines(figures, results):
+    figures.mkdir(parents=True, exist_ok=True)
+    lines = [each.to_line() + "\n" for each in results]
+    (figures / _LINES).write_text("".join(lines))
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/bench/plots.py
@@ -0,0 +1,51 @@
+"""Plots of results as SVG files."""
+
+import matplotlib
+
+matplotlib.use("svg")
+
+from matplotlib import pyplot as plt
+
+__all__ = ["plot_tails"]
+
+_SIZE_INCHES = (7.0, 4.2)
+
+
+def plot_tails(path, title, latencies_ms, deadline_ms):
+    """Draw which share of requests is slower than each latency, on log scales.
+
+    Parameters
+    ----------
+    path : pathlib.Path
+        SVG file to write.
+    title : str
+        Title of the plot.
+    latencies_ms : dict of str to list of float
+        Latencies by system.
+    deadline_ms : float
+        Promised time, drawn as a line.
+    """
+    figure, axes = plt.subplots(figsize=_SIZE_INCHES)
+    for system, values in latencies_ms.items():
+        ordered = sorted(values)
+        slower = [1 - rank / len(ordered) for rank in range(len(ordered))]
+        axes.step(ordered, slower, label=system, where="post")
+    axes.axvline(deadline_ms, color="grey", linestyle="--", label="deadline")
+    axes.set(
+        title=title,
+        xlabel="latency from the planned arrival, ms",
+        ylabel="share of requests that are slower",
+        xscale="log",
+        yscale="log",
+    )
+    axes.grid(True, which="both", alpha=0.3)
+    axes.legend()
+    _save(figure, path)
+
+
+def _save(figure, path):
+    path.parent.mkdir(parents=True, exist_ok=True)
+    figure.tight_layout()
+    # Without a date, a run that gives the same points gives the same file.
+    figure.savefig(path, format="svg", metadata={"Date": None})
+    plt.close(figure)
--- /dev/null
+++ b/bench/processes.py
@@ -0,0 +1,36 @@
+"""Processes of an experiment, with the processor time and memory that they use."""
+
+import os
+from pathlib import Path
+
+from demo.processes import Processes
+
+__all__ = ["MeasuredProcesses"]
+
+_TICKS_PER_S = os.sysconf("SC_CLK_TCK")
+_PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
+#: Fields of /proc/<pid>/stat after the command's closing bracket.
+_UTIME, _STIME, _RSS = 11, 12, 21
+
+
+class MeasuredProcesses(Processes):
+    """`Processes` that tell what each has used so far."""
+
+    def read_cpu(self, name):
+        """Return the processor time of a process, in seconds."""
+        values = self._read_stat(name)
+        return (int(values[_UTIME]) + int(values[_STIME])) / _TICKS_PER_S
+
+    def read_memory(self, name):
+        """Return the resident memory of a process, in bytes."""
+        return int(self._read_stat(name)[_RSS]) * _PAGE_BYTES
+
+    def kill(self, name):
+        """Kill a process, as the loss of its VM would."""
+        process = self._running.pop(name)
+        process.kill()
+        process.wait()
+
+    def _read_stat(self, name):
+        text = Path(f"/proc/{self._running[name].pid}/stat").read_text()
+        return text.rpartition(")")[2].split()
--- a/bench/shapes.py
+++ b/bench/shapes.py
@@ -33,7 +33,7 @@
         Upstreams of a data centre that one node owns together.
     n_slots, n_cold_slots : int
         Limit of each upstream.
-    first_port : int, default=23000
+    first_port : int, default=24000
         Port of the first upstream on loopback.
     """
 
@@ -43,7 +43,7 @@
     n_group: int = 14
     n_slots: int = 3
     n_cold_slots: int = 2
-    first_port: int = 23000
+    first_port: int = 24000
 
 
 def build_declarations(shape):
