--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -14,13 +14,14 @@
 from pathlib import Path
 
 from bench.context import Context
+from bench.legs import measure_hops, measure_legs
 from bench.tables import format_table
 from bench.tail import measure_tail
 
 __all__ = ["EXPERIMENTS", "main"]
 
 #: What can be run, in this order.
-EXPERIMENTS = {"tail": measure_tail}
+EXPERIMENTS = {"tail": measure_tail, "legs": measure_legs, "hops": measure_hops}
 
 _FIGURES = Path("docs/figures")
 _LINES = "bench.jsonl"
--- a/bench/load.py
+++ b/bench/load.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass
 
 from hdrh.histogram import HdrHistogram
+
 from standins.records import ANSWERS
 
 __all__ = ["UNANSWERED_MS", "Answers", "Load", "Loads"]
