--- a/tests/stateful/test_orders.py
+++ b/tests/stateful/test_orders.py
@@ -61,7 +61,7 @@
     def __init__(self, name, incarnation, documents, owners):
         self.owners = owners
         members = FakeMembers(name, owners)
-        admission = Admission.from_parts(name, documents, members)
+        admission = Admission.from_parts(name, documents, members, 0.8)
         self.orders = Orders.from_parts(
             name, incarnation, documents, members, admission, 3600.0
         )
--- a/tests/unit/test_orders.py
+++ b/tests/unit/test_orders.py
@@ -36,7 +36,7 @@
         self.now = 1000.0
         self.documents = build_documents(2, n_group=1, repeatable=False)
         self.members = FakeMembers("n0")
-        self.admission = Admission.from_parts(node, self.documents, self.members)
+        self.admission = Admission.from_parts(node, self.documents, self.members, 0.8)
         self.orders = Orders.from_parts(
             node,
             "start1",
