--- a/demo/processes.py
+++ b/demo/processes.py
@@ -122,8 +122,12 @@
 
     def _read_announcement(self, name):
         self.check_running(name)
-        first = self._find_output(name).read_bytes().partition(b"\n")
-        return json.loads(first[0]) if first[1] else None
+        line = self._find_output(name).read_bytes().partition(b"\n")[0]
+        try:
+            return json.loads(line)
+        except ValueError:
+            # The line is not whole yet, or the process is about to end.
+            return None
 
 
 def _send_signal(process, number):
--- a/demo/tour.py
+++ b/demo/tour.py
@@ -13,6 +13,11 @@
 
 _HOST = "127.0.0.1"
 _COMMAND_SECONDS = 60.0
+#: Lines of a command's output that are shown from its start and from its end.
+_N_FIRST_LINES = 7
+_N_LAST_LINES = 3
+#: What of a node's status is shown.
+_STATUS_KEYS = ("node", "data_centre", "stage", "documents", "searches")
 
 
 class CommandError(Exception):
@@ -139,13 +144,29 @@
     CommandError
         If it does not exit with 0.
     """
-    print(f"\n$ heatherpick {' '.join(map(_quote, arguments))}", flush=True)
+    print(f"\n$ heatherpick {' '.join(map(_quote, arguments))}")
     command = [sys.executable, "-m", "heatherpick", *arguments]
-    ended = subprocess.run(command, timeout=_COMMAND_SECONDS, check=False)
+    ended = subprocess.run(
+        command,
+        timeout=_COMMAND_SECONDS,
+        check=False,
+        stdout=subprocess.PIPE,
+        stderr=subprocess.STDOUT,
+        text=True,
+    )
+    print("\n".join(_shorten(ended.stdout.splitlines())), flush=True)
     if ended.returncode:
         raise CommandError(f"heatherpick {arguments[0]} exited {ended.returncode}")
 
 
+def _shorten(lines):
+    n_left_out = len(lines) - _N_FIRST_LINES - _N_LAST_LINES
+    if n_left_out <= 0:
+        return lines
+    note = f"  ... {n_left_out} more lines ..."
+    return [*lines[:_N_FIRST_LINES], note, *lines[-_N_LAST_LINES:]]
+
+
 def _start_site(tour, processes, directory):
     declarations = load_declarations([tour.path])
     announced = processes.start_announced("platform", "standins.platform")
@@ -196,7 +217,7 @@
 def _show_status(site):
     status = fetch_json(site.callers[0], "/-/status")
     print(f"\nStatus of {site.nodes[0].name}:")
-    print(json.dumps(status, indent=2))
+    print(json.dumps({key: status.get(key) for key in _STATUS_KEYS}, indent=2))
 
 
 def _stop_site(processes, site):
