--- a/bench/processes.py
+++ b/bench/processes.py
@@ -3,7 +3,7 @@
 import os
 from pathlib import Path
 
-from demo.processes import Processes
+from demo.processes import Processes, wait_until
 
 __all__ = ["MeasuredProcesses"]
 
@@ -16,6 +16,30 @@
 class MeasuredProcesses(Processes):
     """`Processes` that tell what each has used so far."""
 
+    def start_together(self, module, arguments):
+        """Start several processes and return what each prints when it is up.
+
+        Parameters
+        ----------
+        module : str
+            Module that all of them run.
+        arguments : dict of str to list
+            Command line of each process by its name.
+
+        Returns
+        -------
+        dict of str to dict
+            Announcement of each process by its name.
+        """
+        for name, each in arguments.items():
+            self.start(name, module, *each)
+        return {
+            name: wait_until(
+                lambda name=name: self._read_announcement(name), f"start of {name}"
+            )
+            for name in arguments
+        }
+
     def read_cpu(self, name):
         """Return the processor time of a process, in seconds."""
         values = self._read_stat(name)
