An answer to another call proves nothing: unguessable leg ids, keys repeated

Cause: a leg's id was its place in the call, so an answer for the same shards that belonged to an earlier call was taken for this one's; an order's answer, even a refusal, named no order at all. Ruled out: trusting the connection; the stand-in's crossed answers come on it. Change: a call's leg ids start at a random number of 40 bits; an order's answer must repeat its key, or the order counts as unknown. Conclusion: the new test took the crossed answer as answered with plain places for ids and fails it now; the table of orders is stricter by five rows.

--- a/src/heatherpick/_shell/answers.py
+++ b/src/heatherpick/_shell/answers.py
@@ -27,7 +27,7 @@
     """Raised when an answer is not of the agreed shape."""
 
 
-def read_legs_answer(call_id, legs, result, elapsed_ms):
+def read_legs_answer(call_id, legs, result, elapsed_ms, first_id=0):
     """Return the `CallEnded` of a call of legs.
 
     Parameters
@@ -40,6 +40,8 @@
         How the exchange ended.
     elapsed_ms : float
         Milliseconds since the call started.
+    first_id : int, default=0
+        Id that the call gave its first leg; the others follow on.
 
     Returns
     -------
@@ -54,7 +56,7 @@
         content, instance, answers = {}, "", {}
         status, reason = LegStatus.UNKNOWN, str(error)
     if status is None:
-        outcomes = [_read_leg(leg, answers.get(leg.index)) for leg in legs]
+        outcomes = [_read_leg(leg, answers.get(first_id + leg.index)) for leg in legs]
     else:
         outcomes = [
             LegOutcome(leg.index, leg.spec.shard, status, reason=reason) for leg in legs
@@ -62,13 +64,15 @@
     return CallEnded(call_id, tuple(outcomes), elapsed_ms, instance)
 
 
-def read_order_answer(call_id, result, elapsed_ms):
+def read_order_answer(call_id, key, result, elapsed_ms):
     """Return the `OrderEnded` of a call of an order.
 
     Parameters
     ----------
     call_id : int
         Id of the call.
+    key : str
+        Idempotency key of the order, which every answer must repeat.
     result : Reply or ExchangeFailure
         How the exchange ended.
     elapsed_ms : float
@@ -82,6 +86,8 @@
     try:
         content, status, reason = _classify(result)
         instance = _read_instance(content)
+        if content and content.get("key") != key:
+            raise _Malformed("answer to another order")
         body = ""
         if status is None:
             status, body = LegStatus.ANSWERED, _read_receipt(content)
--- a/src/heatherpick/_shell/upstreams.py
+++ b/src/heatherpick/_shell/upstreams.py
@@ -1,5 +1,7 @@
 """Calls to upstreams over HTTP, each answered by exactly one event."""
 
+import secrets
+
 import orjson
 
 from heatherpick._core.effects import CallOrder, CallUpstream, CancelCall
@@ -11,6 +13,16 @@
 
 MS_PER_S = 1000.0
 
+#: Bits of the random part of a call's leg ids, and of the index below it. Together
+#: they stay within the whole numbers that JSON carries exactly.
+N_ID_BITS = 40
+N_INDEX_BITS = 12
+
+
+def draw_first_id():
+    """Return an unguessable id for the first leg of a call."""
+    return secrets.randbits(N_ID_BITS) << N_INDEX_BITS
+
 
 class Upstreams:
     """Carries out calls of legs and of orders.
@@ -21,10 +33,14 @@
         Takes an event.
     reactor : IReactorTCP and IReactorTime
         Opens connections and keeps the time.
+    draw_first_id : callable, optional
+        Gives the id of a call's first leg. An answer that belongs to another call
+        has other ids, so it is not taken for this one's.
     """
 
-    def __init__(self, feed, reactor):
+    def __init__(self, feed, reactor, draw_first_id=draw_first_id):
         self._feed = feed
+        self._draw_first_id = draw_first_id
         self._clock = reactor
         self._leg_pool = ExchangePool(reactor)
         # A kept connection may be closing when an order is written to it, and the
@@ -48,22 +64,30 @@
 
     def _call_legs(self, effect):
         started = self._clock.seconds()
+        first_id = self._draw_first_id()
+
+        def build(effect):
+            return _build_legs(effect, first_id)
 
         def finish(result):
             elapsed_ms = self._end(effect.call_id, started)
             self._feed(
-                read_legs_answer(effect.call_id, effect.legs, result, elapsed_ms)
+                read_legs_answer(
+                    effect.call_id, effect.legs, result, elapsed_ms, first_id
+                )
             )
 
         traceparent = effect.legs[0].traceparent if effect.legs else ""
-        self._begin(self._leg_pool, effect, _build_legs, traceparent, finish)
+        self._begin(self._leg_pool, effect, build, traceparent, finish)
 
     def _call_order(self, effect):
         started = self._clock.seconds()
 
         def finish(result):
             elapsed_ms = self._end(effect.call_id, started)
-            self._feed(read_order_answer(effect.call_id, result, elapsed_ms))
+            self._feed(
+                read_order_answer(effect.call_id, effect.key, result, elapsed_ms)
+            )
 
         self._begin(self._order_pool, effect, _build_order, effect.traceparent, finish)
 
@@ -93,10 +117,10 @@
             exchange.cancel()
 
 
-def _build_legs(effect):
+def _build_legs(effect, first_id):
     legs = [
         {
-            "id": leg.index,
+            "id": first_id + leg.index,
             "shard": leg.spec.shard,
             "version": leg.version,
             "query": orjson.Fragment(leg.query),
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -91,6 +91,7 @@
         key = data["key"]
         fault = self.faults.take()
         receipts = []
+        shed = {"key": key}
 
         def start():
             # The order takes effect before the answer, so that neither closing
@@ -99,9 +100,9 @@
                 receipts.append(self.model.run_order(key))
 
         def answer(expired):
-            return self._build_order_answer(receipts)
+            return self._build_order_answer(key, receipts)
 
-        return self._run(request, 0, None, fault, answer, start)
+        return self._run(request, 0, None, fault, answer, start, shed)
 
     @app.route("/v1/load", methods=["GET"])
     def show_load(self, request):
@@ -116,14 +117,13 @@
             timer.cancel()
             drop_connection(request)
 
-    def _run(self, request, n_legs, deadline_ms, fault, answer, start=None):
+    def _run(self, request, n_legs, deadline_ms, fault, answer, start=None, shed=None):
         if self.hung:
             return Deferred()
         begun = self.model.start_call(self._clock.seconds(), n_legs)
         if begun.verdict is Verdict.SHED:
-            return reply(
-                request, 503, {"instance": self.model.instance, "status": "shed"}
-            )
+            told = {"instance": self.model.instance, "status": "shed"}
+            return reply(request, 503, told | (shed or {}))
         if begun.verdict is not Verdict.STARTED:
             self.drop_running()
             return drop_connection(request)
@@ -192,11 +192,11 @@
             "hits": hits,
         }
 
-    def _build_order_answer(self, receipts):
+    def _build_order_answer(self, key, receipts):
+        told = {"instance": self.model.instance, "key": key}
         if not receipts:
-            return 409, {"status": "failed", "reason": "told to fail"}
-        instance = self.model.instance
-        return 200, {"instance": instance, "status": "done", "receipt": receipts[0]}
+            return 409, told | {"status": "failed", "reason": "told to fail"}
+        return 200, told | {"status": "done", "receipt": receipts[0]}
 
 
 def _send_half(request, status, data):
--- a/tests/contract/test_upstream_answers.py
+++ b/tests/contract/test_upstream_answers.py
@@ -35,7 +35,9 @@
     def __init__(self):
         self.events = []
         self.reactor = make_reactor()
-        self.upstreams = Upstreams(self.events.append, self.reactor)
+        self.upstreams = Upstreams(
+            self.events.append, self.reactor, draw_first_id=lambda: 0
+        )
 
     def carry_out(self, effect):
         self.upstreams.carriers[type(effect)](effect)
@@ -117,13 +119,18 @@
 
 
 ORDER_ANSWERS = [
-    (200, b'{"status": "done", "receipt": {"n": 1}}', LegStatus.ANSWERED, '{"n":1}'),
-    (200, b'{"status": "done"}', LegStatus.UNKNOWN, ""),
-    (200, b'{"status": "failed"}', LegStatus.UNKNOWN, ""),
-    (409, b'{"status": "failed", "reason": "no stock"}', LegStatus.FAILED, ""),
-    (409, b'{"status": "done"}', LegStatus.UNKNOWN, ""),
-    (503, b'{"status": "shed"}', LegStatus.SHED, ""),
-    (503, b'{"status": "done"}', LegStatus.UNKNOWN, ""),
+    (200, b'{"key": "k", "status": "done", "receipt": {"n": 1}}', 0, '{"n":1}'),
+    (200, b'{"key": "other", "status": "done", "receipt": 1}', LegStatus.UNKNOWN, ""),
+    (200, b'{"status": "done", "receipt": 1}', LegStatus.UNKNOWN, ""),
+    (200, b'{"key": "k", "status": "done"}', LegStatus.UNKNOWN, ""),
+    (200, b'{"key": "k", "status": "failed"}', LegStatus.UNKNOWN, ""),
+    (409, b'{"key": "k", "status": "failed", "reason": "x"}', LegStatus.FAILED, ""),
+    (409, b'{"key": "other", "status": "failed"}', LegStatus.UNKNOWN, ""),
+    (409, b'{"key": "k", "status": "done"}', LegStatus.UNKNOWN, ""),
+    (503, b'{"key": "k", "status": "shed"}', LegStatus.SHED, ""),
+    (503, b'{"key": "other", "status": "shed"}', LegStatus.UNKNOWN, ""),
+    (503, b'{"status": "shed"}', LegStatus.UNKNOWN, ""),
+    (503, b'{"key": "k", "status": "done"}', LegStatus.UNKNOWN, ""),
     (404, b"", LegStatus.UNKNOWN, ""),
 ]
 
@@ -257,3 +264,18 @@
         head = calls.accept().value().lower()
         assert b"connection: close" in head
     assert len(calls.reactor.tcpClients) == 2
+
+
+def test_answer_to_another_call_for_the_same_shard_is_not_taken():
+    events = []
+    ids = iter([4096, 8192])
+    reactor = make_reactor()
+    upstreams = Upstreams(events.append, reactor, draw_first_id=lambda: next(ids))
+    for call_id in (1, 2):
+        upstreams.carriers[CallUpstream](
+            CallUpstream(call_id, "u1", ADDRESS, (make_leg(),), 100)
+        )
+    second = Dialled(reactor).accept()
+    second.protocol.dataReceived(build_http(200, answer_legs(answer_leg(id=4096))))
+    (ended,) = events
+    assert (ended.call_id, ended.outcomes[0].status) == (2, LegStatus.UNKNOWN)
--- a/tests/fuzz/test_shell_parsers.py
+++ b/tests/fuzz/test_shell_parsers.py
@@ -111,7 +111,7 @@
     reply = Reply(status, body)
     ended = read_legs_answer(1, legs, reply, 1.0)
     assert [outcome.leg_id for outcome in ended.outcomes] == [0, 1, 2]
-    assert type(read_order_answer(1, reply, 1.0).status) is msg.LegStatus
+    assert type(read_order_answer(1, "k", reply, 1.0).status) is msg.LegStatus
 
 
 @fuzz
