An upstream's latency is trusted after eight samples, and one straggler weighs little

Cause: the first call to an upstream opens a connection and may meet a busy start; median and mean stood at that one sample and left it only slowly (190 ms and twelve calls of 10 ms gave a median of 140 and a mean of 61; one straggler of 500 ms a mean of 59), so a second leg was refused as 'overload' at almost no load. Ruled out: a declared first estimate, which would have to be kept true by hand. Change: the first eight samples are sorted exactly, refusals wait for them, and a sample weighs at most four medians in the mean.

--- a/src/heatherpick/_core/latency.py
+++ b/src/heatherpick/_core/latency.py
@@ -1,7 +1,5 @@
 """Running estimates of how long an upstream takes."""
 
-from dataclasses import dataclass
-
 from heatherpick._core.quantiles import StreamQuantile
 
 __all__ = ["LatencyEstimate"]
@@ -15,42 +13,72 @@
 #: Smallest estimate of a quantile, in milliseconds.
 LEAST_MS = 0.01
 
+#: Samples that are sorted exactly before quantiles follow the stream. The first
+#: ones include new connections, and a quantile leaves a bad start only slowly.
+N_FIRST_SAMPLES = 8
+
+#: How many times the median a sample weighs in the mean at most. One straggler says
+#: little about the wait behind the next call.
+LARGEST_WEIGHT = 4.0
+
 
-@dataclass(slots=True)
 class LatencyEstimate:
     """Mean, median and upper quantile of a stream of durations, in fixed memory.
 
-    Parameters
+    Attributes
     ----------
     n_samples : int
         Samples seen.
     mean_ms : float
-        Running mean in milliseconds; 0 before the first sample.
+        Running mean in milliseconds without outliers; 0 before the first sample.
     """
 
-    n_samples: int = 0
-    mean_ms: float = 0.0
-    _median: StreamQuantile | None = None
-    _upper: StreamQuantile | None = None
+    __slots__ = ("_first", "_median", "_upper", "mean_ms", "n_samples")
+
+    def __init__(self):
+        self.n_samples = 0
+        self.mean_ms = 0.0
+        self._first = []
+        self._median = None
+        self._upper = None
+
+    @property
+    def is_trusted(self):
+        """Whether there are samples enough to refuse work by the estimate."""
+        return self._median is not None
 
     @property
     def median_ms(self):
         """Median in milliseconds; 0 before the first sample."""
-        return self._median.value if self._median else 0.0
+        if self._median is not None:
+            return self._median.value
+        return self._first[len(self._first) // 2] if self._first else 0.0
 
     @property
     def upper_ms(self):
         """Upper quantile in milliseconds; 0 before the first sample."""
-        return self._upper.value if self._upper else 0.0
+        if self._upper is not None:
+            return self._upper.value
+        return self._first[-1] if self._first else 0.0
 
     def add(self, value_ms):
         """Take in one duration in milliseconds."""
         self.n_samples += 1
-        if self.n_samples == 1:
-            self.mean_ms = value_ms
-            self._median = StreamQuantile(0.5, value_ms, LEAST_MS)
-            self._upper = StreamQuantile(UPPER_QUANTILE, value_ms, LEAST_MS)
+        if self._median is None:
+            self._add_first(value_ms)
             return
-        self.mean_ms += MEAN_WEIGHT * (value_ms - self.mean_ms)
+        clipped = min(value_ms, LARGEST_WEIGHT * self._median.value)
+        self.mean_ms += MEAN_WEIGHT * (clipped - self.mean_ms)
         self._median.add(value_ms)
         self._upper.add(value_ms)
+
+    def _add_first(self, value_ms):
+        self._first.append(value_ms)
+        self._first.sort()
+        self.mean_ms = self.median_ms
+        if len(self._first) < N_FIRST_SAMPLES:
+            return
+        median_ms, upper_ms = self.median_ms, self.upper_ms
+        self._median = StreamQuantile(0.5, max(median_ms, LEAST_MS), LEAST_MS)
+        self._upper = StreamQuantile(UPPER_QUANTILE, max(upper_ms, LEAST_MS), LEAST_MS)
+        self._first = []
--- a/src/heatherpick/_core/slots.py
+++ b/src/heatherpick/_core/slots.py
@@ -122,6 +122,8 @@
 
     def is_too_late(self, n_ahead, remaining_s, allowance):
         """Return whether a leg behind ``n_ahead`` others would be late."""
+        if not self.ramp.latency.is_trusted:
+            return False
         wait_s = self.expected_wait_s(n_ahead, allowance)
         if wait_s == 0.0:
             return False
@@ -130,7 +132,7 @@
     def is_hopeless(self, leg, now):
         """Return whether a leg that reached the front would still be late."""
         # An idle upstream is always tried: else a wrong estimate never mends.
-        if self.n_in_flight == 0:
+        if self.n_in_flight == 0 or not self.ramp.latency.is_trusted:
             return now >= leg.deadline
         least_s = HOPELESS_SHARE * self.ramp.latency.median_ms / 1000
         return now + least_s >= leg.deadline
@@ -138,7 +140,7 @@
     def is_overdue(self, call, elapsed_ms):
         """Return whether a call lasted far longer than calls mostly do."""
         latency = self.ramp.latency
-        if latency.n_samples:
+        if latency.is_trusted:
             return elapsed_ms > SLOW_FACTOR * latency.upper_ms
         return elapsed_ms > call.timeout_ms / 2
 
