The hedging age is at most three medians of a leg

Cause: after a stall the high quantile stayed at 131 ms for ten fast queries (test), and legs that straggled meanwhile were answered at the deadline as missing. Ruled out: a larger step of the quantile, which would shake at rest; the budget bounds extra legs whatever the age. Conclusion: the new test fails without the bound (131 ms) and passes with it. The effect on the tail is not measured yet: runs on the busy machine spread too far.

--- a/src/heatherpick/_core/searches.py
+++ b/src/heatherpick/_core/searches.py
@@ -47,6 +47,8 @@
 #: Part of the hedging budget that the hedging age aims to use. The rest is kept
 #: for bursts, such as an owner that is lost with many legs.
 HEDGE_AIM = 0.7
+#: Largest hedging age, in medians of a leg's latency.
+LARGEST_AGE = 3.0
 #: Time below which nothing is sent any more, in milliseconds.
 LEAST_REMAINING_MS = 2.0
 
@@ -63,7 +65,20 @@
         self.hedges = Budget(service.hedge_budget)
         self.extra = Budget(HARD_EXTRA_SHARE, RETRY_BURST)
         p = 1.0 - HEDGE_AIM * service.hedge_budget
-        self.age_ms = StreamQuantile(p, INITIAL_HEDGE_MS, LEAST_HEDGE_MS)
+        self._late_ms = StreamQuantile(p, INITIAL_HEDGE_MS, LEAST_HEDGE_MS)
+        self._median_ms = StreamQuantile(0.5, INITIAL_HEDGE_MS, LEAST_HEDGE_MS)
+
+    @property
+    def hedge_age_ms(self):
+        """Age from which an open leg is hedged, in milliseconds."""
+        # The high quantile alone follows a slow start or a stall for many queries,
+        # while the stragglers that it should catch go unhedged.
+        largest = LARGEST_AGE * self._median_ms.value
+        return min(self._late_ms.value, largest)
+
+    def learn(self, elapsed_ms):
+        self._late_ms.add(elapsed_ms)
+        self._median_ms.add(elapsed_ms)
 
     def earn(self, n_legs):
         self.hedges.earn(n_legs)
@@ -209,7 +224,7 @@
             "n_open_searches": len(self._queries),
             "hedges": {
                 name: {
-                    "age_ms": round(pace.age_ms.value, 2),
+                    "age_ms": round(pace.hedge_age_ms, 2),
                     "n_legs": pace.hedges.n_earned,
                     "n_hedges": pace.hedges.n_spent,
                     "n_extra": pace.extra.n_spent,
@@ -329,7 +344,7 @@
             query.started_work = True
         effects.append(_build_leg_span(query, leg, status, now))
         if status is LegStatus.ANSWERED:
-            self._pace(query.service).age_ms.add(elapsed_ms)
+            self._pace(query.service).learn(elapsed_ms)
             self._cover(query, outcome, now, effects)
             return
         query.note_reason(outcome.reason or status.name.lower())
@@ -348,7 +363,7 @@
             # The loser's time is a lower bound. Without it the hedging age would
             # only ever learn from legs that were fast enough.
             waited_ms = (now - query.open_legs[leg_id].sent) * 1000.0
-            self._pace(query.service).age_ms.add(waited_ms)
+            self._pace(query.service).learn(waited_ms)
         effects.extend(self._cancel(query, losers))
 
     def _lose_leg(self, query, leg_id, reason, now, retries):
@@ -412,7 +427,7 @@
         late = [
             leg
             for leg in query.open_legs.values()
-            if (now - leg.sent) * 1000.0 >= pace.age_ms.value
+            if (now - leg.sent) * 1000.0 >= pace.hedge_age_ms
             and len(query.open_of[leg.shard]) == 1
             and not leg.hedge
         ]
@@ -446,7 +461,7 @@
                 query.retry_at = now + _get_retry_wait(query.n_retry_rounds)
             due = min(due, query.retry_at)
         if query.open_legs:
-            age_s = self._pace(query.service).age_ms.value / 1000.0
+            age_s = self._pace(query.service).hedge_age_ms / 1000.0
             oldest = min(leg.sent for leg in query.open_legs.values())
             # A leg that is late already was not hedged for want of budget, which
             # other queries may have earned by the next look.
--- a/tests/unit/test_searches.py
+++ b/tests/unit/test_searches.py
@@ -319,3 +319,15 @@
     harness.members.dead.add("node-one")
     again = list_batches(harness.searches.peer_lost("node-one", 1.01))
     assert sum(len(batch.legs) for _, batch in again) == lost > 100
+
+
+def test_hedging_age_recovers_within_a_few_queries_of_a_stall():
+    harness = Harness()
+    for number in range(10):
+        started = number * 10.0
+        harness.answer(harness.begin(started, f"slow-{number}"), started + 0.15)
+    for number in range(10):
+        started = 100.0 + number
+        harness.answer(harness.begin(started, f"fast-{number}"), started + 0.01)
+    (hedges,) = harness.searches.describe()["hedges"].values()
+    assert hedges["age_ms"] < 40.0
