--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -7,13 +7,17 @@
 """
 
 import argparse
+import os
 import signal
 import sys
 import time
 import traceback
+from dataclasses import replace
 from pathlib import Path
 
 from bench.context import Context
+from bench.control import measure_control
+from bench.leaving import measure_leaving
 from bench.legs import measure_hops, measure_legs
 from bench.tables import format_table
 from bench.tail import measure_tail
@@ -21,10 +25,15 @@
 __all__ = ["EXPERIMENTS", "main"]
 
 #: What can be run, in this order.
-EXPERIMENTS = {"tail": measure_tail, "legs": measure_legs, "hops": measure_hops}
+EXPERIMENTS = {
+    "tail": measure_tail,
+    "legs": measure_legs,
+    "hops": measure_hops,
+    "control": measure_control,
+    "leaving": measure_leaving,
+}
 
 _FIGURES = Path("docs/figures")
-_LINES = "bench.jsonl"
 
 
 def build_parser():
@@ -49,33 +58,43 @@
     results = []
     n_failed = 0
     for name in options.only or EXPERIMENTS:
-        n_failed += not _run_experiment(name, context, results)
+        found = _run_experiment(name, context)
+        results.extend(found)
+        n_failed += not found
     print(format_table(results), file=sys.stderr)
-    if figures and not options.only:
-        _keep_lines(figures, results)
     return 1 if n_failed else 0
 
 
-def _run_experiment(name, context, results):
+def _run_experiment(name, context):
+    """Return the results, none if the experiment could not be run."""
     started = time.monotonic()
+    results = []
     try:
-        for result in EXPERIMENTS[name](context):
+        for measured in EXPERIMENTS[name](context):
+            result = _add_machine(measured)
             print(result.to_line(), flush=True)
             results.append(result)
     except Exception:
         traceback.print_exc()
         print(f"experiment {name} could not be run", file=sys.stderr)
-        return False
+        return []
     finally:
         elapsed = time.monotonic() - started
         print(f"{name}: {elapsed:.0f} s", file=sys.stderr)
-    return True
+    if context.figures:
+        _keep_lines(context.figures / f"{name}.jsonl", results)
+    return results
+
+
+def _add_machine(result):
+    """Return the result with how busy the machine was, as others may share it."""
+    machine = {"n_cores": os.cpu_count(), "load_average": os.getloadavg()[0]}
+    return replace(result, conditions=result.conditions | machine)
 
 
-def _keep_lines(figures, results):
-    figures.mkdir(parents=True, exist_ok=True)
-    lines = [each.to_line() + "\n" for each in results]
-    (figures / _LINES).write_text("".join(lines))
+def _keep_lines(path, results):
+    path.parent.mkdir(parents=True, exist_ok=True)
+    path.write_text("".join(each.to_line() + "\n" for each in results))
 
 
 if __name__ == "__main__":
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -57,6 +57,8 @@
         self.declarations = build_declarations(shape)
         self.nodes = []
         self.platform_address = ""
+        self._version = 0
+        self._listed = []
         self._directory = directory
         self._control_ports = []
 
@@ -69,11 +71,13 @@
             DRAINS_OBJECT, 0, '{"format":1,"data_centres":[],"upstreams":[]}'
         )
 
-    def publish(self, declarations, version=0):
-        """Write a `DeclarationSet` over the one of ``version``."""
+    def publish(self, declarations):
+        """Write a `DeclarationSet` over the one published before."""
         body = encode_declarations(declarations)
         self._body_path.write_text(body)
-        self.write_object(DECLARATIONS_OBJECT, version, body)
+        self.write_object(DECLARATIONS_OBJECT, self._version, body)
+        self._version += 1
+        self.declarations = declarations
 
     def drain(self, drains, version):
         """Write `Drains` over those of ``version``."""
@@ -116,26 +120,34 @@
 
     def start_nodes(self, n_per_data_centre):
         """Start nodes and wait until each is ready and has settled."""
-        self.nodes = [
-            replace(node, trace_path="")
-            for node in list_nodes(
-                self.declarations,
-                n_per_data_centre,
-                self.platform_address,
-                self._directory,
-                take_port,
-            )
-        ]
-        for node in self.nodes:
+        self.list_nodes(n_per_data_centre)
+        self.add_nodes(len(self._listed))
+
+    def list_nodes(self, n_per_data_centre):
+        """Settle names and addresses of all nodes that may be started."""
+        listed = list_nodes(
+            self.declarations,
+            n_per_data_centre,
+            self.platform_address,
+            self._directory,
+            take_port,
+        )
+        self._listed = [replace(node, trace_path="") for node in listed]
+
+    def add_nodes(self, n_nodes):
+        """Start the next of the listed nodes and wait until they have settled."""
+        added = self._listed[len(self.nodes) :][:n_nodes]
+        for node in added:
             self.start_node(node)
-        for node in self.nodes:
+        for node in added:
             self.wait_ready(node)
+        self.nodes += added
         time.sleep(_SETTLE_SECONDS)
 
     def start_node(self, node):
         """Start one node."""
         path = self._directory / f"{node.name}.ini"
-        path.write_text(node.format_ini(self.nodes))
+        path.write_text(node.format_ini(self._listed))
         self.processes.start(node.name, "heatherpick", "node", "--settings", path)
 
     def wait_ready(self, node):
@@ -185,10 +197,22 @@
         """Return the sum of a counter over the upstreams."""
         return sum(each[key] for each in self.read_upstreams().values())
 
-    def control_upstreams(self, action, **data):
-        """Carry out a control action on all upstreams."""
+    def list_upstreams(self, data_centre):
+        """Return the names of the upstreams of a data centre."""
+        return [
+            upstream.name
+            for upstream in self.declarations.upstreams.values()
+            if upstream.data_centre == data_centre
+        ]
+
+    def control_upstreams(self, action, names, **data):
+        """Carry out a control action on the named upstreams."""
         for port in self._control_ports:
-            self._exchange("POST", f"http://127.0.0.1:{port}/_control/{action}", data)
+            here = fetch_json(f"127.0.0.1:{port}", "/_control/state")
+            concerned = sorted(set(names) & set(here))
+            if concerned:
+                url = f"http://127.0.0.1:{port}/_control/{action}"
+                self._exchange("POST", url, data | {"upstreams": concerned})
 
     def control_platform(self, method, path, data=None):
         """Send a control request to the platform."""
--- a/bench/legs.py
+++ b/bench/legs.py
@@ -13,7 +13,7 @@
 
 _MS_PER_S = 1e3
 _US_PER_S = 1e6
-_QUIET_SECONDS = 1.0
+_QUIET_SECONDS = 0.5
 _WARM_UP_RATE = 4.0
 _HOP_LEGS = 14
 _HOP_PORT = 18750
@@ -57,7 +57,7 @@
             name, coefficient.value, unit, baseline or {}, None, context.seed, known
         )
 
-    naive_us = {"naive": naive_leg.scale(_US_PER_S).value}
+    naive_us = {"naive": naive_leg * _US_PER_S} if naive_leg else {}
     yield build("node_idle_cpu", idle.scale(100), "% of a core")
     yield build("query_cpu", query.scale(_MS_PER_S), "ms of CPU per search at entry")
     yield build("leg_cpu", leg.scale(_US_PER_S), "us of CPU per leg at owner", naive_us)
@@ -90,14 +90,12 @@
 
 
 def _measure_naive(context, plan, fleet, loads, naive):
-    rows, values = [], []
-    for number, rate in enumerate(plan.rates):
-        load = Load(rate, plan.block_s, context.seed + number)
-        cpu = fleet.processes.read_cpu("naive-0")
-        n_queries = len(loads.run(load, naive.addresses))
-        rows.append([n_queries * plan.n_upstreams])
-        values.append(fleet.processes.read_cpu("naive-0") - cpu)
-    return fit_linear(rows, values)[1]
+    """Return the seconds of CPU per leg, which has no idle time to take away."""
+    load = Load(plan.rates[-1], plan.block_s, context.seed)
+    cpu = fleet.processes.read_cpu("naive-0")
+    n_queries = len(loads.run(load, naive.addresses))
+    cpu = fleet.processes.read_cpu("naive-0") - cpu
+    return cpu / (n_queries * plan.n_upstreams) if n_queries else None
 
 
 def measure_hops(context):
--- a/bench/load.py
+++ b/bench/load.py
@@ -12,6 +12,7 @@
 
 from hdrh.histogram import HdrHistogram
 
+from demo.processes import wait_until
 from standins.records import ANSWERS
 
 __all__ = ["UNANSWERED_MS", "Answers", "Load", "Loads"]
@@ -101,11 +102,21 @@
             self._process.kill()
             self._process.wait()
 
+    def wait_for_first(self):
+        """Wait until a request has ended; return its planned arrival, by the clock."""
+        wait_until(self._read_lines, "the first answer")
+        return json.loads(self._read_lines()[0])["scheduled"]
+
     def wait(self):
         """Wait for the end and return the `Answers`."""
         self._process.wait(self._timeout)
-        lines = self._records.read_text().splitlines()
-        return Answers([json.loads(line) for line in lines])
+        return Answers([json.loads(line) for line in self._read_lines()])
+
+    def _read_lines(self):
+        if not self._records.exists():
+            return []
+        lines = self._records.read_text().splitlines(keepends=True)
+        return [line for line in lines if line.endswith("\n")]
 
 
 class Answers:
--- a/bench/plots.py
+++ b/bench/plots.py
@@ -6,7 +6,7 @@
 
 from matplotlib import pyplot as plt
 
-__all__ = ["plot_tails"]
+__all__ = ["plot_seconds", "plot_tails"]
 
 _SIZE_INCHES = (7.0, 4.2)
 
@@ -43,6 +43,30 @@
     _save(figure, path)
 
 
+def plot_seconds(path, title, rows):
+    """Draw errors, p99 and coverage second by second, one above the other.
+
+    Parameters
+    ----------
+    path : pathlib.Path
+        SVG file to write.
+    title : str
+        Title of the plot.
+    rows : list of tuple of float
+        Second, share of errors, p99 in milliseconds and coverage.
+    """
+    labels = ("share of errors", "p99, ms", "coverage")
+    figure, panels = plt.subplots(len(labels), sharex=True, figsize=_SIZE_INCHES)
+    seconds = [row[0] for row in rows]
+    for column, (axes, label) in enumerate(zip(panels, labels, strict=True), start=1):
+        axes.plot(seconds, [row[column] for row in rows], marker=".")
+        axes.set_ylabel(label)
+        axes.grid(True, alpha=0.3)
+    panels[0].set_title(title)
+    panels[-1].set_xlabel("second of the run")
+    _save(figure, path)
+
+
 def _save(figure, path):
     path.parent.mkdir(parents=True, exist_ok=True)
     figure.tight_layout()
--- a/bench/processes.py
+++ b/bench/processes.py
@@ -49,6 +49,10 @@
         """Return the resident memory of a process, in bytes."""
         return int(self._read_stat(name)[_RSS]) * _PAGE_BYTES
 
+    def find_pid(self, name):
+        """Return the id of a process."""
+        return self._running[name].pid
+
     def kill(self, name):
         """Kill a process, as the loss of its VM would."""
         process = self._running.pop(name)
@@ -56,5 +60,5 @@
         process.wait()
 
     def _read_stat(self, name):
-        text = Path(f"/proc/{self._running[name].pid}/stat").read_text()
+        text = Path(f"/proc/{self.find_pid(name)}/stat").read_text()
         return text.rpartition(")")[2].split()
--- a/bench/tail.py
+++ b/bench/tail.py
@@ -1,6 +1,7 @@
 """Tail latency, coverage and extra legs under stragglers, beside both baselines."""
 
 import time
+from contextlib import ExitStack
 from dataclasses import asdict, dataclass
 from random import Random
 
@@ -38,10 +39,10 @@
     service_ms: float = 10.0
 
 
-_QUICK_PLANS = (_Plan(110, 4, 4.0, 1, 4.0, 2.0, n_upstream_processes=4),)
+_QUICK_PLANS = (_Plan(110, 4, 4.0, 1, 3.0, 3.0, n_upstream_processes=4),)
 _PLANS = (
-    _Plan(110, 8, 6.0, 3, 15.0, 5.0),
-    _Plan(160, 8, 4.0, 2, 12.0, 5.0),
+    _Plan(110, 8, 6.0, 3, 15.0, 12.0),
+    _Plan(160, 8, 4.0, 2, 12.0, 12.0),
 )
 
 
@@ -96,9 +97,7 @@
 
 
 def _run_rounds(context, plan, fleet, loads, systems):
-    for number, addresses in enumerate(systems.values()):
-        seed = context.seed * 1000 + 900 + number
-        loads.run(Load(plan.rate, plan.warm_up_s, seed, _SERVICES), addresses)
+    _warm_up(context, plan, loads, systems)
     runs = {name: _Run() for name in systems}
     for number in range(plan.n_rounds):
         load = Load(plan.rate, plan.block_s, context.seed * 1000 + number, _SERVICES)
@@ -107,6 +106,19 @@
     return runs
 
 
+def _warm_up(context, plan, loads, systems):
+    """Let every system open its connections and learn latencies, side by side."""
+    seed = context.seed * 1000 + 900
+    load = Load(plan.rate / len(systems), plan.warm_up_s, seed, _SERVICES)
+    with ExitStack() as stack:
+        runs = [
+            stack.enter_context(loads.start(load, addresses))
+            for addresses in systems.values()
+        ]
+        for run in runs:
+            run.wait()
+
+
 def _run_block(fleet, loads, load, addresses, run):
     time.sleep(_QUIET_SECONDS)
     before = _count(fleet)
--- a/standins/caller.py
+++ b/standins/caller.py
@@ -251,7 +251,7 @@
     if not options.searches and not options.orders:
         parser.error("nothing to send; name a --search or an --order")
     summary = Summary()
-    with open(options.records or "/dev/null", "wb") as records:
+    with open(options.records or "/dev/null", "wb", buffering=0) as records:
 
         def keep(record):
             records.write(record.to_line())
