--- /dev/null
+++ b/tests/unit/test_history.py
@@ -0,0 +1,123 @@
+from dataclasses import replace
+
+import pytest
+
+from standins.answer_check import find_answer_fault
+from standins.arrivals import PlannedRequest
+from standins.hits import expected_hits
+from standins.records import Record
+from tests.process.history import History, Sighting, find_faults
+
+PLAN = (
+    PlannedRequest(0, 0.0, "lookup", "pine", shard_set="s"),
+    PlannedRequest(1, 0.1, "entry", {"item": 1}, key="k"),
+    PlannedRequest(2, 0.2, "entry", {"item": 1}, key="k"),
+)
+
+
+def search(number=0, outcome="answered", query="pine", covered=((0, 7), (1, 7)), n=2):
+    hits = [hit for shard, v in covered for hit in expected_hits("s", v, shard, query)]
+    missing = sorted(set(range(n)) - {shard for shard, _ in covered})
+    coverage = {"n_shards": n, "n_covered": n - len(missing), "missing": missing}
+    answer = {"outcome": outcome, "coverage": coverage, "index_version": 7}
+    fault = find_answer_fault("s", "pine", answer | {"hits": hits})
+    return Record(number, "lookup", 0.0, 0.0, 0.1, "n", outcome, fault=fault)
+
+
+def order(number, outcome="answered", body="a/1", node="n"):
+    return Record(number, "entry", 0.1, 0.1, 0.2, node, outcome, key="k", body=body)
+
+
+def refuse(number, key=""):
+    return Record(number, "x", 0.0, 0.0, 0.1, "n", "not run", key=key)
+
+
+GOOD = History(
+    plan=PLAN,
+    records=(search(), order(1), order(2)),
+    runs={"k": 1},
+    queries_run=frozenset({"pine"}),
+    claims={"k": "a/1"},
+    sightings=(
+        Sighting("n.1", {"d": 2}),
+        Sighting("n.2", {"d": 1}),
+        Sighting("n.1", {"d": 3}),
+        Sighting("n.2", {"d": 3}),
+    ),
+)
+
+GOOD_CHANGES = {
+    "nothing": {},
+    "partial answer that says so": {
+        "records": (search(outcome="partial", covered=((0, 7),)), order(1), order(2))
+    },
+    "refused repeat of an order that ran": {
+        "records": (search(), order(1), refuse(2, "k"))
+    },
+    "answer lost with its node": {
+        "records": (search(), order(1, "lost", None, "dead"), order(2)),
+        "killed": frozenset({"dead"}),
+    },
+    "search refused unrun": {
+        "records": (refuse(0), order(1), order(2)),
+        "queries_run": frozenset(),
+    },
+}
+
+BAD_CHANGES = {
+    "order ran twice": ({"runs": {"k": 2}}, "ran 2 times"),
+    "two outcomes of one key": (
+        {"records": (search(), order(1), order(2, body="a/2"))},
+        "has the outcomes",
+    ),
+    "claim records another outcome": ({"claims": {"k": "b/9"}}, "otherwise"),
+    "order ran unclaimed": ({"claims": {}}, "without a claim"),
+    "order answered that never ran": ({"runs": {}}, "never ran"),
+    "order refused as not run that ran": (
+        {"records": (search(), refuse(1, "k"), refuse(2, "k"))},
+        "refused as not run",
+    ),
+    "search refused as not run that ran": (
+        {"records": (refuse(0), order(1), order(2))},
+        "refused as not run",
+    ),
+    "two snapshots in one answer": (
+        {"records": (search(covered=((0, 7), (1, 8))), order(1), order(2))},
+        "another query or version",
+    ),
+    "answer to another query": (
+        {"records": (search(query="oak"), order(1), order(2))},
+        "another query or version",
+    ),
+    "coverage overstated": (
+        {"records": (search(covered=((0, 7),)), order(1), order(2))},
+        "does not agree with the coverage",
+    ),
+    "request without an end": ({"records": (search(), order(1))}, "ended 0 times"),
+    "request with two ends": (
+        {"records": (search(), search(), order(1), order(2))},
+        "ended 2 times",
+    ),
+    "connection cut by a living node": (
+        {"records": (search(), order(1, "lost", None), order(2))},
+        "got no answer",
+    ),
+    "document reverted": (
+        {"sightings": (Sighting("n.1", {"d": 2}), Sighting("n.1", {"d": 1}))},
+        "went back",
+    ),
+    "document forgotten": (
+        {"sightings": (Sighting("n.1", {"d": 2}), Sighting("n.1", {}))},
+        "went back",
+    ),
+}
+
+
+@pytest.mark.parametrize("changes", GOOD_CHANGES.values(), ids=GOOD_CHANGES)
+def test_good_history_has_no_fault(changes):
+    assert find_faults(replace(GOOD, **changes)) == []
+
+
+@pytest.mark.parametrize(("changes", "word"), BAD_CHANGES.values(), ids=BAD_CHANGES)
+def test_planted_fault_is_found(changes, word):
+    assert any(word in line for line in find_faults(replace(GOOD, **changes)))
