--- a/demo/processes.py
+++ b/demo/processes.py
@@ -31,11 +31,20 @@
         return probe.getsockname()[1]
 
 
-def fetch_json(address, path):
-    """Return the JSON answer to a GET of ``path``, None if there is none."""
+def fetch_json(
+    address, path, content=None, method=None, headers=None, seconds=_FETCH_SECONDS
+):
+    """Return the JSON answer to a GET of ``path``, None if there is none.
+
+    With ``content``, an object, it is a POST of that as JSON; ``method`` overrules.
+    """
+    headers = {"Content-Type": "application/json"} | (headers or {})
+    data = None if content is None else json.dumps(content).encode()
     try:
-        url = f"http://{address}{path}"
-        with urllib.request.urlopen(url, timeout=_FETCH_SECONDS) as answer:
+        request = urllib.request.Request(
+            f"http://{address}{path}", data, headers, method=method
+        )
+        with urllib.request.urlopen(request, timeout=seconds) as answer:
             return json.loads(answer.read())
     except (urllib.error.URLError, OSError, ValueError):
         return None
@@ -103,6 +112,29 @@
             tail = "\n".join(lines[-_LOG_TAIL_LINES:])
             raise StartError(f"{name} has ended:\n{tail}")
 
+    def send_signal(self, name, number):
+        """Send the signal ``number`` to a process."""
+        _send_signal(self._running[name], number)
+
+    def kill(self, name):
+        """End a process by SIGKILL and wait until it is gone."""
+        process = self._running.pop(name)
+        process.kill()
+        process.wait()
+
+    def wait_for(self, name, seconds=_START_SECONDS):
+        """Wait until a process ends by itself, and return what it printed.
+
+        Raises
+        ------
+        StartError
+            If it does not end within ``seconds``.
+        """
+        process = self._running[name]
+        wait_until(lambda: process.poll() is not None, f"end of {name}", seconds)
+        del self._running[name]
+        return self._find_output(name).read_text()
+
     def stop(self, names):
         """Ask processes to end by SIGTERM, wait, and return their exit codes.
 
--- a/src/heatherpick/_settings/node.py
+++ b/src/heatherpick/_settings/node.py
@@ -30,6 +30,7 @@
     "data_centre": NameValue(),
     "caller_address": AddressValue(is_listening=True),
     "peer_address": AddressValue(),
+    "peer_listen_address": AddressValue(is_listening=True),
     "platform_address": AddressValue(),
     "seed_peers": PeersValue(),
     "heartbeat_ms": IntegerValue(10, 10_000),
@@ -57,6 +58,9 @@
     peer_address : str
         ``ip:port`` at which the node takes connections of its peers, and which
         it tells them.
+    peer_listen_address : str
+        ``ip:port`` to listen on in place of ``peer_address``, where something in
+        between forwards the one to the other; empty if nothing does.
     platform_address : str
         ``ip:port`` of the platform's object service.
     seed_peers : tuple of (str, str)
@@ -87,6 +91,7 @@
     heartbeat_ms: int = 500
     suspect_after_ms: int = 2_500
     agree_within_ms: int = 1_500
+    peer_listen_address: str = ""
     log_path: str = "-"
     trace_path: str = ""
     max_body_bytes: int = 65_536
--- a/src/heatherpick/_shell/answers.py
+++ b/src/heatherpick/_shell/answers.py
@@ -27,7 +27,7 @@
     """Raised when an answer is not of the agreed shape."""
 
 
-def read_legs_answer(call_id, legs, result, elapsed_ms):
+def read_legs_answer(call_id, legs, result, elapsed_ms, first_id=0):
     """Return the `CallEnded` of a call of legs.
 
     Parameters
@@ -40,6 +40,8 @@
         How the exchange ended.
     elapsed_ms : float
         Milliseconds since the call started.
+    first_id : int, default=0
+        Id by which the upstream knows the leg with index 0; the others follow.
 
     Returns
     -------
@@ -54,7 +56,7 @@
         content, instance, answers = {}, "", {}
         status, reason = LegStatus.UNKNOWN, str(error)
     if status is None:
-        outcomes = [_read_leg(leg, answers.get(leg.index)) for leg in legs]
+        outcomes = [_read_leg(leg, answers.get(first_id + leg.index)) for leg in legs]
     else:
         outcomes = [
             LegOutcome(leg.index, leg.spec.shard, status, reason=reason) for leg in legs
--- a/src/heatherpick/_shell/node.py
+++ b/src/heatherpick/_shell/node.py
@@ -138,7 +138,8 @@
         """Take connections of callers and peers."""
         site = self.callers.build_site(self.settings.max_body_bytes)
         self._listen_at(self.settings.caller_address, site)
-        self._listen_at(self.settings.peer_address, self.peers.build_factory())
+        peer_address = self.settings.peer_listen_address or self.settings.peer_address
+        self._listen_at(peer_address, self.peers.build_factory())
 
     def start(self):
         """Carry out the reducer's first effects."""
--- a/src/heatherpick/_shell/upstreams.py
+++ b/src/heatherpick/_shell/upstreams.py
@@ -1,5 +1,7 @@
 """Calls to upstreams over HTTP, each answered by exactly one event."""
 
+import secrets
+
 import orjson
 
 from heatherpick._core.effects import CallOrder, CallUpstream, CancelCall
@@ -7,9 +9,16 @@
 from heatherpick._shell.exchanges import ExchangeFailure, ExchangePool
 from heatherpick.errors import InvalidArgument
 
-__all__ = ["Upstreams"]
+__all__ = ["Upstreams", "draw_id"]
 
 MS_PER_S = 1000.0
+#: Bits of the first leg's id in a call; JSON numbers are exact up to 53.
+N_ID_BITS = 52
+
+
+def draw_id():
+    """Return an id for the first leg of a call that nobody can foresee."""
+    return secrets.randbits(N_ID_BITS)
 
 
 class Upstreams:
@@ -21,10 +30,14 @@
         Takes an event.
     reactor : IReactorTCP and IReactorTime
         Opens connections and keeps the time.
+    draw_id : callable, optional
+        Returns the id of the first leg of a call. It must not be foreseeable: an
+        answer that belongs to another call is known by its ids alone.
     """
 
-    def __init__(self, feed, reactor):
+    def __init__(self, feed, reactor, draw_id=draw_id):
         self._feed = feed
+        self._draw_id = draw_id
         self._clock = reactor
         self._leg_pool = ExchangePool(reactor)
         # A kept connection may be closing when an order is written to it, and the
@@ -48,15 +61,21 @@
 
     def _call_legs(self, effect):
         started = self._clock.seconds()
+        first_id = self._draw_id()
+
+        def build(effect):
+            return _build_legs(effect, first_id)
 
         def finish(result):
             elapsed_ms = self._end(effect.call_id, started)
             self._feed(
-                read_legs_answer(effect.call_id, effect.legs, result, elapsed_ms)
+                read_legs_answer(
+                    effect.call_id, effect.legs, result, elapsed_ms, first_id
+                )
             )
 
         traceparent = effect.legs[0].traceparent if effect.legs else ""
-        self._begin(self._leg_pool, effect, _build_legs, traceparent, finish)
+        self._begin(self._leg_pool, effect, build, traceparent, finish)
 
     def _call_order(self, effect):
         started = self._clock.seconds()
@@ -93,10 +112,10 @@
             exchange.cancel()
 
 
-def _build_legs(effect):
+def _build_legs(effect, first_id):
     legs = [
         {
-            "id": leg.index,
+            "id": first_id + leg.index,
             "shard": leg.spec.shard,
             "version": leg.version,
             "query": orjson.Fragment(leg.query),
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -20,7 +20,7 @@
 
 from standins.answer_faults import AnswerFault, AnswerFaults, spoil_legs
 from standins.connections import ConnectionGate, LimitedFactory
-from standins.hits import expected_hits
+from standins.hits import canonicalise_query, expected_hits
 from standins.upstream_config import UpstreamConfig
 from standins.upstream_model import UpstreamModel, Verdict
 from standins.web import (
@@ -78,10 +78,13 @@
         legs = [check_keys(leg, _LEG_KEYS) for leg in data["legs"]]
         fault = self.faults.take()
 
+        def start():
+            self.model.note_queries(canonicalise_query(leg["query"]) for leg in legs)
+
         def answer(expired):
             return 200, self._build_answer(legs, fault, expired)
 
-        return self._run(request, len(legs), data["deadline_ms"], fault, answer)
+        return self._run(request, len(legs), data["deadline_ms"], fault, answer, start)
 
     @app.route("/v1/orders", methods=["POST"])
     def run_order(self, request):
--- a/standins/upstream_config.py
+++ b/standins/upstream_config.py
@@ -55,6 +55,8 @@
         Time that it is away after it fell over.
     load_lag_ms : float
         Age of the load that it reports.
+    keeps_queries : bool
+        Whether it remembers the text of every query that it starts.
     """
 
     name: str
@@ -76,6 +78,7 @@
     warm_up_ms: float = 0.0
     restart_ms: float = 500.0
     load_lag_ms: float = 2000.0
+    keeps_queries: bool = False
 
     @classmethod
     def from_json(cls, data):
--- a/standins/upstream_control.py
+++ b/standins/upstream_control.py
@@ -84,6 +84,13 @@
         """Answer with the state of each upstream by name."""
         return reply(request, 200, self._collect_state())
 
+    @app.route("/_control/queries", methods=["GET"])
+    def show_queries(self, request):
+        """Answer with every query that an upstream has started and remembers."""
+        models = [each.upstream.model for each in self._listeners.values()]
+        started = set().union(*(model.queries for model in models))
+        return reply(request, 200, {"queries": sorted(started)})
+
     @app.route("/_control/<action>", methods=["POST"])
     @inlineCallbacks
     def change(self, request, action):
--- a/standins/upstream_model.py
+++ b/standins/upstream_model.py
@@ -64,6 +64,7 @@
         self.straggle_factor = config.straggle_factor
         self.counts = Counter()
         self.orders = Counter()
+        self.queries = set()
         self.fake_load = None
         self._run = run
         self._random = Random(f"{seed}/{config.name}")
@@ -146,6 +147,11 @@
         self.orders[key] += 1
         return f"{self.config.name}/{self.orders.total()}"
 
+    def note_queries(self, texts):
+        """Remember the texts of queries that start, if it is configured to."""
+        if self.config.keeps_queries:
+            self.queries.update(texts)
+
     def fall(self, now):
         """Lose all work and go away for the restart time."""
         self.counts["n_falls"] += 1
--- a/tests/contract/test_upstream_answers.py
+++ b/tests/contract/test_upstream_answers.py
@@ -8,7 +8,7 @@
 from heatherpick._core.effects import CalledLeg, CallOrder, CallUpstream, CancelCall
 from heatherpick._core.messages import LegSpec, LegStatus
 from heatherpick._shell import exchanges
-from heatherpick._shell.upstreams import Upstreams
+from heatherpick._shell.upstreams import Upstreams, draw_id
 from tests.wires import Dialled, build_http, make_reactor
 
 TRACEPARENT = "00-" + "a" * 32 + "-" + "b" * 16 + "-01"
@@ -32,10 +32,11 @@
 class Calls:
     """Upstreams on a reactor in memory, with the events that came of them."""
 
-    def __init__(self):
+    def __init__(self, **options):
         self.events = []
         self.reactor = make_reactor()
-        self.upstreams = Upstreams(self.events.append, self.reactor)
+        options = {"draw_id": lambda: 0} | options
+        self.upstreams = Upstreams(self.events.append, self.reactor, **options)
 
     def carry_out(self, effect):
         self.upstreams.carriers[type(effect)](effect)
@@ -237,6 +238,29 @@
     assert orjson.loads(body) == {"deadline_ms": 100, "legs": [leg]}
 
 
+def test_answer_with_the_ids_of_an_earlier_call_is_not_taken():
+    calls = Calls(draw_id=iter((100, 200)).__next__)
+    calls.call_legs(make_leg())
+    transport = calls.accept()
+    answer = build_http(200, answer_legs(answer_leg(id=100)))
+    transport.protocol.dataReceived(answer)
+    calls.call_legs(make_leg(), call_id=2)
+    transport.protocol.dataReceived(answer)
+    first, second = (event.outcomes[0] for event in calls.events)
+    assert first.status is LegStatus.ANSWERED
+    assert (second.status, second.reason) == (LegStatus.UNKNOWN, "missing")
+
+
+def test_ids_of_legs_differ_from_call_to_call():
+    ids = {0}
+    for _ in range(2):
+        calls = Calls(draw_id=draw_id)
+        calls.call_legs(make_leg())
+        body = calls.accept().value().partition(b"\r\n\r\n")[2]
+        ids.add(orjson.loads(body)["legs"][0]["id"])
+    assert len(ids) == 3
+
+
 def test_stale_kept_connection_is_not_sent_to_twice():
     calls = Calls()
     calls.call_legs(make_leg())
--- /dev/null
+++ b/tests/process/conftest.py
@@ -0,0 +1,17 @@
+import pytest
+
+from tests.process.fleet import Fleet
+
+
+@pytest.fixture(scope="session")
+def running_fleet(tmp_path_factory):
+    with Fleet(tmp_path_factory.mktemp("fleet")) as fleet:
+        yield fleet
+
+
+@pytest.fixture
+def fleet(running_fleet):
+    """The fleet, whole and settled before the case and after it."""
+    running_fleet.restore()
+    yield running_fleet
+    running_fleet.restore()
