Each leg's answer repeats the hash of its query

Ruled out: one query a shard and call, which would undo the batching. Change: legs carry a hash of their query, answers must repeat it.

--- a/src/heatherpick/_shell/answers.py
+++ b/src/heatherpick/_shell/answers.py
@@ -1,12 +1,13 @@
 """What an upstream's answer proves about each leg or order."""
 
 import orjson
+import xxhash
 
 from heatherpick._core.events import CallEnded, OrderEnded
 from heatherpick._core.messages import LegOutcome, LegStatus
 from heatherpick._shell.exchanges import Reply
 
-__all__ = ["read_legs_answer", "read_order_answer"]
+__all__ = ["hash_query", "read_legs_answer", "read_order_answer"]
 
 HTTP_OK = 200
 HTTP_CONFLICT = 409
@@ -27,6 +28,15 @@
     """Raised when an answer is not of the agreed shape."""
 
 
+def hash_query(query):
+    """Return what an upstream must repeat beside the hits of a query.
+
+    Ids tell the legs of a call apart, but not whether an upstream that works on
+    several queries at once has put the hits of one beside the id of another.
+    """
+    return xxhash.xxh3_64_hexdigest(query.encode())
+
+
 def read_legs_answer(call_id, legs, result, elapsed_ms, first_id=0):
     """Return the `CallEnded` of a call of legs.
 
@@ -172,6 +182,8 @@
         return "malformed version"
     if status != "answered":
         return ""
+    if answer.get("query_hash") != hash_query(leg.query):
+        return "answer to another query"
     return _find_fault_of_hits(answer.get("hits"), answer.get("n_hits"))
 
 
--- a/src/heatherpick/_shell/upstreams.py
+++ b/src/heatherpick/_shell/upstreams.py
@@ -5,7 +5,11 @@
 import orjson
 
 from heatherpick._core.effects import CallOrder, CallUpstream, CancelCall
-from heatherpick._shell.answers import read_legs_answer, read_order_answer
+from heatherpick._shell.answers import (
+    hash_query,
+    read_legs_answer,
+    read_order_answer,
+)
 from heatherpick._shell.exchanges import ExchangeFailure, ExchangePool
 from heatherpick.errors import InvalidArgument
 
@@ -120,6 +124,7 @@
             "id": first_id + leg.index,
             "shard": leg.spec.shard,
             "version": leg.version,
+            "query_hash": hash_query(leg.query),
             "query": orjson.Fragment(leg.query),
         }
         for leg in effect.legs
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -191,6 +191,7 @@
             "status": status,
             "shard": shard,
             "version": version,
+            "query_hash": leg.get("query_hash", ""),
             "n_hits": len(hits),
             "hits": hits,
         }
