The last legs of a query are hedged by the query's own pace

Cause: in traces of a busy machine a leg took 60 ms and the hedging age stood at 100 to 140, so a straggler's hedge answered near the deadline; a query whose other legs have all answered knows better than an age learnt from many queries. Ruled out: a smaller multiple of the median, which hedges legs of a slow query while most of its legs are still out. Change: once all but twice the budget's legs have answered, the open ones are hedged after a quarter of the query's age more, within the same budget.

--- a/src/heatherpick/_core/queries.py
+++ b/src/heatherpick/_core/queries.py
@@ -1,5 +1,6 @@
 """State of one search at its entry node, and the counting of its coverage."""
 
+import math
 from dataclasses import dataclass, field
 
 from heatherpick.declarations import Service, Snapshot
@@ -71,6 +72,7 @@
     n_legs: int = 0
     n_retry_rounds: int = 0
     retry_at: float = 0.0
+    last_hedge_at: float = math.inf
     started_work: bool = False
     moved: bool = False
     wants_move: bool = False
--- a/src/heatherpick/_core/searches.py
+++ b/src/heatherpick/_core/searches.py
@@ -1,5 +1,6 @@
 """Entry side of a search: spread the legs, hedge late ones, merge, answer in time."""
 
+import math
 from itertools import count
 
 from heatherpick._core.budgets import Budget
@@ -49,6 +50,10 @@
 HEDGE_AIM = 0.7
 #: Largest hedging age, in medians of a leg's latency.
 LARGEST_AGE = 3.0
+#: Open legs that count as the last of a query, in times the hedging budget.
+LAST_LEGS = 2.0
+#: Wait before the last legs are hedged, as a part of the query's age.
+LAST_WAIT = 0.25
 #: Time below which nothing is sent any more, in milliseconds.
 LEAST_REMAINING_MS = 2.0
 
@@ -395,10 +400,26 @@
         effects.extend(self._send_shards(query, fresh, now))
         if self._is_hopeless(query):
             return effects + self._answer(query, now)
-        if query.waiting:
+        is_new = self._plan_last_hedge(query, now)
+        if query.waiting or is_new:
             effects.extend(self._arm(query, now))
         return effects
 
+    def _plan_last_hedge(self, query, now):
+        """Set when the last open legs are hedged; return whether that is new.
+
+        When all but a few legs have answered, this query itself shows how long a
+        leg takes at present. The hedging age, learnt from many queries, cannot know
+        that all of them are fast or slow just now.
+        """
+        if query.last_hedge_at < math.inf:
+            return False
+        n_last = LAST_LEGS * query.service.hedge_budget * query.snapshot.n_shards
+        if query.snapshot.n_shards - query.n_covered > max(1.0, n_last):
+            return False
+        query.last_hedge_at = now + LAST_WAIT * (now - query.started)
+        return True
+
     def _is_hopeless(self, query):
         if query.open_legs or query.wants_move:
             return False
@@ -427,9 +448,12 @@
         late = [
             leg
             for leg in query.open_legs.values()
-            if (now - leg.sent) * 1000.0 >= pace.hedge_age_ms
+            if not leg.hedge
             and len(query.open_of[leg.shard]) == 1
-            and not leg.hedge
+            and (
+                now >= query.last_hedge_at
+                or (now - leg.sent) * 1000.0 >= pace.hedge_age_ms
+            )
         ]
         late.sort(key=lambda leg: leg.sent)
         shards = []
@@ -466,6 +490,8 @@
             # A leg that is late already was not hedged for want of budget, which
             # other queries may have earned by the next look.
             due = min(due, max(oldest, now - age_s / 2.0) + age_s)
+            if query.last_hedge_at > now:
+                due = min(due, query.last_hedge_at)
         after_ms = max(0.1, (due - now) * 1000.0)
         return [SetTimer(f"searches:{query.request_id}", after_ms)]
 
--- a/tests/unit/test_searches.py
+++ b/tests/unit/test_searches.py
@@ -331,3 +331,15 @@
         harness.answer(harness.begin(started, f"fast-{number}"), started + 0.01)
     (hedges,) = harness.searches.describe()["hedges"].values()
     assert hedges["age_ms"] < 40.0
+
+
+def test_last_legs_are_hedged_soon_after_all_others_have_answered():
+    harness = Harness()
+    for number in range(5):
+        started = float(number)
+        harness.answer(harness.begin(started, f"warm-{number}"), started + 0.06)
+    effects = harness.answer(harness.begin(10.0), 10.02, except_shards={3})
+    wait = get_wait(effects)
+    assert wait < 0.006
+    ((_, batch),) = list_batches(harness.searches.timer("searches:q", 10.02 + wait))
+    assert [leg.shard for leg in batch.legs] == [3]
