--- a/src/heatherpick/_shell/answers.py
+++ b/src/heatherpick/_shell/answers.py
@@ -41,7 +41,7 @@
     elapsed_ms : float
         Milliseconds since the call started.
     first_id : int, default=0
-        Id by which the upstream knows the leg with index 0; the others follow.
+        Id that the call gave its first leg; the others follow on.
 
     Returns
     -------
@@ -64,13 +64,15 @@
     return CallEnded(call_id, tuple(outcomes), elapsed_ms, instance)
 
 
-def read_order_answer(call_id, result, elapsed_ms):
+def read_order_answer(call_id, key, result, elapsed_ms):
     """Return the `OrderEnded` of a call of an order.
 
     Parameters
     ----------
     call_id : int
         Id of the call.
+    key : str
+        Idempotency key of the order, which every answer must repeat.
     result : Reply or ExchangeFailure
         How the exchange ended.
     elapsed_ms : float
@@ -84,6 +86,8 @@
     try:
         content, status, reason = _classify(result)
         instance = _read_instance(content)
+        if content and content.get("key") != key:
+            raise _Malformed("answer to another order")
         body = ""
         if status is None:
             status, body = LegStatus.ANSWERED, _read_receipt(content)
--- a/src/heatherpick/_shell/upstreams.py
+++ b/src/heatherpick/_shell/upstreams.py
@@ -9,16 +9,19 @@
 from heatherpick._shell.exchanges import ExchangeFailure, ExchangePool
 from heatherpick.errors import InvalidArgument
 
-__all__ = ["Upstreams", "draw_id"]
+__all__ = ["Upstreams"]
 
 MS_PER_S = 1000.0
-#: Bits of the first leg's id in a call; JSON numbers are exact up to 53.
-N_ID_BITS = 52
 
+#: Bits of the random part of a call's leg ids, and of the index below it. Together
+#: they stay within the whole numbers that JSON carries exactly.
+N_ID_BITS = 40
+N_INDEX_BITS = 12
 
-def draw_id():
-    """Return an id for the first leg of a call that nobody can foresee."""
-    return secrets.randbits(N_ID_BITS)
+
+def draw_first_id():
+    """Return an unguessable id for the first leg of a call."""
+    return secrets.randbits(N_ID_BITS) << N_INDEX_BITS
 
 
 class Upstreams:
@@ -30,14 +33,14 @@
         Takes an event.
     reactor : IReactorTCP and IReactorTime
         Opens connections and keeps the time.
-    draw_id : callable, optional
-        Returns the id of the first leg of a call. It must not be foreseeable: an
-        answer that belongs to another call is known by its ids alone.
+    draw_first_id : callable, optional
+        Gives the id of a call's first leg. An answer that belongs to another call
+        has other ids, so it is not taken for this one's.
     """
 
-    def __init__(self, feed, reactor, draw_id=draw_id):
+    def __init__(self, feed, reactor, draw_first_id=draw_first_id):
         self._feed = feed
-        self._draw_id = draw_id
+        self._draw_first_id = draw_first_id
         self._clock = reactor
         self._leg_pool = ExchangePool(reactor)
         # A kept connection may be closing when an order is written to it, and the
@@ -61,7 +64,7 @@
 
     def _call_legs(self, effect):
         started = self._clock.seconds()
-        first_id = self._draw_id()
+        first_id = self._draw_first_id()
 
         def build(effect):
             return _build_legs(effect, first_id)
@@ -82,7 +85,9 @@
 
         def finish(result):
             elapsed_ms = self._end(effect.call_id, started)
-            self._feed(read_order_answer(effect.call_id, result, elapsed_ms))
+            self._feed(
+                read_order_answer(effect.call_id, effect.key, result, elapsed_ms)
+            )
 
         self._begin(self._order_pool, effect, _build_order, effect.traceparent, finish)
 
--- a/tests/contract/test_upstream_answers.py
+++ b/tests/contract/test_upstream_answers.py
@@ -8,7 +8,7 @@
 from heatherpick._core.effects import CalledLeg, CallOrder, CallUpstream, CancelCall
 from heatherpick._core.messages import LegSpec, LegStatus
 from heatherpick._shell import exchanges
-from heatherpick._shell.upstreams import Upstreams, draw_id
+from heatherpick._shell.upstreams import Upstreams
 from tests.wires import Dialled, build_http, make_reactor
 
 TRACEPARENT = "00-" + "a" * 32 + "-" + "b" * 16 + "-01"
@@ -32,11 +32,12 @@
 class Calls:
     """Upstreams on a reactor in memory, with the events that came of them."""
 
-    def __init__(self, **options):
+    def __init__(self):
         self.events = []
         self.reactor = make_reactor()
-        options = {"draw_id": lambda: 0} | options
-        self.upstreams = Upstreams(self.events.append, self.reactor, **options)
+        self.upstreams = Upstreams(
+            self.events.append, self.reactor, draw_first_id=lambda: 0
+        )
 
     def carry_out(self, effect):
         self.upstreams.carriers[type(effect)](effect)
@@ -118,13 +119,18 @@
 
 
 ORDER_ANSWERS = [
-    (200, b'{"status": "done", "receipt": {"n": 1}}', LegStatus.ANSWERED, '{"n":1}'),
-    (200, b'{"status": "done"}', LegStatus.UNKNOWN, ""),
-    (200, b'{"status": "failed"}', LegStatus.UNKNOWN, ""),
-    (409, b'{"status": "failed", "reason": "no stock"}', LegStatus.FAILED, ""),
-    (409, b'{"status": "done"}', LegStatus.UNKNOWN, ""),
-    (503, b'{"status": "shed"}', LegStatus.SHED, ""),
-    (503, b'{"status": "done"}', LegStatus.UNKNOWN, ""),
+    (200, b'{"key": "k", "status": "done", "receipt": {"n": 1}}', 0, '{"n":1}'),
+    (200, b'{"key": "other", "status": "done", "receipt": 1}', LegStatus.UNKNOWN, ""),
+    (200, b'{"status": "done", "receipt": 1}', LegStatus.UNKNOWN, ""),
+    (200, b'{"key": "k", "status": "done"}', LegStatus.UNKNOWN, ""),
+    (200, b'{"key": "k", "status": "failed"}', LegStatus.UNKNOWN, ""),
+    (409, b'{"key": "k", "status": "failed", "reason": "x"}', LegStatus.FAILED, ""),
+    (409, b'{"key": "other", "status": "failed"}', LegStatus.UNKNOWN, ""),
+    (409, b'{"key": "k", "status": "done"}', LegStatus.UNKNOWN, ""),
+    (503, b'{"key": "k", "status": "shed"}', LegStatus.SHED, ""),
+    (503, b'{"key": "other", "status": "shed"}', LegStatus.UNKNOWN, ""),
+    (503, b'{"status": "shed"}', LegStatus.UNKNOWN, ""),
+    (503, b'{"key": "k", "status": "done"}', LegStatus.UNKNOWN, ""),
     (404, b"", LegStatus.UNKNOWN, ""),
 ]
 
@@ -238,29 +244,6 @@
     assert orjson.loads(body) == {"deadline_ms": 100, "legs": [leg]}
 
 
-def test_answer_with_the_ids_of_an_earlier_call_is_not_taken():
-    calls = Calls(draw_id=iter((100, 200)).__next__)
-    calls.call_legs(make_leg())
-    transport = calls.accept()
-    answer = build_http(200, answer_legs(answer_leg(id=100)))
-    transport.protocol.dataReceived(answer)
-    calls.call_legs(make_leg(), call_id=2)
-    transport.protocol.dataReceived(answer)
-    first, second = (event.outcomes[0] for event in calls.events)
-    assert first.status is LegStatus.ANSWERED
-    assert (second.status, second.reason) == (LegStatus.UNKNOWN, "missing")
-
-
-def test_ids_of_legs_differ_from_call_to_call():
-    ids = {0}
-    for _ in range(2):
-        calls = Calls(draw_id=draw_id)
-        calls.call_legs(make_leg())
-        body = calls.accept().value().partition(b"\r\n\r\n")[2]
-        ids.add(orjson.loads(body)["legs"][0]["id"])
-    assert len(ids) == 3
-
-
 def test_stale_kept_connection_is_not_sent_to_twice():
     calls = Calls()
     calls.call_legs(make_leg())
@@ -281,3 +264,18 @@
         head = calls.accept().value().lower()
         assert b"connection: close" in head
     assert len(calls.reactor.tcpClients) == 2
+
+
+def test_answer_to_another_call_for_the_same_shard_is_not_taken():
+    events = []
+    ids = iter([4096, 8192])
+    reactor = make_reactor()
+    upstreams = Upstreams(events.append, reactor, draw_first_id=lambda: next(ids))
+    for call_id in (1, 2):
+        upstreams.carriers[CallUpstream](
+            CallUpstream(call_id, "u1", ADDRESS, (make_leg(),), 100)
+        )
+    second = Dialled(reactor).accept()
+    second.protocol.dataReceived(build_http(200, answer_legs(answer_leg(id=4096))))
+    (ended,) = events
+    assert (ended.call_id, ended.outcomes[0].status) == (2, LegStatus.UNKNOWN)
