A node is ready once it hears its fellows and reaches the owners

Cause: a started node said ready as soon as it knew the declarations. Change: readiness waits until every other member is heard and an owner of every group is connected, at most 5 s, so that a node that is cut off serves what it can.

--- a/src/heatherpick/_core/lifecycle.py
+++ b/src/heatherpick/_core/lifecycle.py
@@ -17,6 +17,10 @@
 #: deadline, so what is left by then belongs to callers that have given up.
 FINISH_MS = 10000.0
 
+#: Longest wait for owners that can be reached before callers are taken, in seconds.
+#: A node that is cut off serves what it can after that.
+OPEN_WAIT_S = 5.0
+
 _SETTLED = "lifecycle:settled"
 _CHECK = "lifecycle:check"
 
@@ -105,6 +109,7 @@
         self._machine = _MACHINE(_Nothing())
         # Read at every event, so it is kept beside the machine.
         self.stage = self._machine.name()
+        self._open_by = None
         self._finish_by = None
 
     @property
@@ -117,8 +122,22 @@
         """Whether a planned stop has begun."""
         return self.stage in ("settling", "finishing", "stopped")
 
-    def open(self):
-        """Take callers from now on; return effects."""
+    def open(self, can_route, now):
+        """Take callers as soon as they can be served; return effects.
+
+        Parameters
+        ----------
+        can_route : callable
+            Returns whether an owner of every group can be reached.
+        now : float
+            Time in seconds.
+        """
+        if self.stage != "starting":
+            return []
+        if self._open_by is None:
+            self._open_by = now + OPEN_WAIT_S
+        if now < self._open_by and not can_route():
+            return []
         return self._step(self._machine.open)
 
     def stop(self, now):
--- a/src/heatherpick/_core/members.py
+++ b/src/heatherpick/_core/members.py
@@ -199,6 +199,18 @@
         """Return the ``ip:port`` at which a node takes peers, "" if unknown."""
         return self._connections.address_of(node) or self._documents.address_of(node)
 
+    def reaches(self, node):
+        """Return whether messages to a node would leave now."""
+        return node == self._own.node or self._links.reach(node) is not None
+
+    def hears_fellows(self, now):
+        """Return whether every other member of this data centre has been heard."""
+        return all(
+            self._electorate.is_heard(each.incarnation, now)
+            for each in self._electorate.membership.members
+            if each.node != self._own.node
+        )
+
     def is_isolated(self, now):
         """Return whether this node hears no other member of its data centre."""
         self._refresh(now)
--- a/src/heatherpick/_core/reducer.py
+++ b/src/heatherpick/_core/reducer.py
@@ -131,6 +131,7 @@
             Effects, in the order in which to carry them out.
         """
         effects = self._settle(self._handlers[type(event)](event, now), now)
+        effects.extend(self._open(now))
         if self._lifecycle.is_leaving and not self._released:
             effects.extend(self._release(now))
         return effects
@@ -261,10 +262,21 @@
         effects = self._members.learned(now)
         effects.extend(self._admission.documents_changed(now))
         effects.extend(self._searches.documents_changed(now))
-        if self._documents.declarations.services:
-            effects.extend(self._lifecycle.open())
         return effects
 
+    def _open(self, now):
+        if not self._documents.declarations.services:
+            return []
+        return self._lifecycle.open(lambda: self._can_route(now), now)
+
+    def _can_route(self, now):
+        # Whoever knows only some members takes the wrong ones for owners.
+        if not self._members.hears_fellows(now) or self._members.is_isolated(now):
+            return False
+        groups = self._documents.declarations.groups.values()
+        owners = {self._members.owner_of(group, now) for group in groups}
+        return all(self._members.reaches(owner) for owner in owners)
+
     def _route_object(self, method):
         handlers = {
             "members": getattr(self._members, method),
--- /dev/null
+++ b/tests/unit/test_lifecycle.py
@@ -0,0 +1,17 @@
+from heatherpick._core.effects import SetReadiness
+from heatherpick._core.lifecycle import OPEN_WAIT_S, Lifecycle
+
+
+def test_node_that_reaches_no_owners_is_not_ready_before_the_wait_ends():
+    lifecycle = Lifecycle()
+    assert lifecycle.open(lambda: False, 10.0) == []
+    assert lifecycle.open(lambda: False, 9.9 + OPEN_WAIT_S) == []
+    assert not lifecycle.accepts
+    assert SetReadiness(True) in lifecycle.open(lambda: False, 10.0 + OPEN_WAIT_S)
+    assert lifecycle.accepts
+
+
+def test_node_that_reaches_its_owners_is_ready_at_once():
+    lifecycle = Lifecycle()
+    assert SetReadiness(True) in lifecycle.open(lambda: True, 10.0)
+    assert lifecycle.open(lambda: True, 11.0) == []
