--- a/tests/process/test_faults.py
+++ b/tests/process/test_faults.py
@@ -74,11 +74,19 @@
 
 def test_paused_owner_never_doubles_the_load_of_a_cold_upstream(fleet):
     owner = find_owner(fleet, "findings/north/0")
-    with fleet.run_load(seed=102, seconds=7.0, order_share=0.15) as run:
+    # Slow calls keep all slots busy and legs waiting, so that the owner that returns
+    # has work at hand and its successor has work out.
+    for place in PLACES:
+        fleet.control(place, "straggle", upstreams=[f"{place}-findings-0"], factor=3.0)
+    with fleet.run_load(seed=102, seconds=8.0, order_share=0.0) as run:
         run.wait_until(2.0)
-        fleet.freeze(owner)
-        time.sleep(FREEZE_SECONDS)
-        fleet.thaw(owner)
+        for _ in range(2):
+            fleet.freeze(owner)
+            time.sleep(FREEZE_SECONDS)
+            fleet.thaw(owner)
+            time.sleep(0.3)
+    for place in PLACES:
+        fleet.control(place, "straggle", factor=1.0, probability=0.0)
     check_run(run)
     assert not any(each["n_falls"] for each in run.counts.values())
     assert run.counts["north-findings-0"]["n_calls"] > 0
