Calls of one turn start four at a time, frames to other owners leave in between

Cause: starting the 14 to 28 calls of a query takes milliseconds in one turn of the reactor, and the frames to the other owners left only after it (traces: remote owners began 4 to 18 ms after the entry). Ruled out: sending frames past the reactor's buffer, which twisted does not offer.

--- a/src/heatherpick/_shell/upstreams.py
+++ b/src/heatherpick/_shell/upstreams.py
@@ -16,6 +16,9 @@
 __all__ = ["Upstreams", "draw_id"]
 
 MS_PER_S = 1000.0
+
+#: Calls that are started before the reactor looks at its connections again.
+N_STARTS = 4
 #: Bits of the first leg's id in a call; JSON numbers are exact up to 53.
 N_ID_BITS = 52
 
@@ -49,12 +52,14 @@
         # proves that nothing was sent.
         self._order_pool = ExchangePool(reactor, persistent=False)
         self._exchanges = {}
+        self._waiting = {}
+        self._starter = None
 
     @property
     def carriers(self):
         """Dict of effect type to the method that carries it out."""
         return {
-            CallUpstream: self._call_legs,
+            CallUpstream: self._queue_call,
             CallOrder: self._call_order,
             CancelCall: self._cancel,
         }
@@ -63,6 +68,22 @@
         """Close the idle connections."""
         return self._leg_pool.close()
 
+    def _queue_call(self, effect):
+        self._waiting[effect.call_id] = effect
+        if self._starter is None:
+            self._starter = self._clock.callLater(0, self._start_calls)
+
+    def _start_calls(self):
+        # A query's calls take milliseconds to start. Between two lots of them the
+        # reactor sends the frames to other owners that wait behind.
+        self._starter = None
+        for call_id in list(self._waiting)[:N_STARTS]:
+            effect = self._waiting.pop(call_id, None)
+            if effect is not None:
+                self._call_legs(effect)
+        if self._waiting and self._starter is None:
+            self._starter = self._clock.callLater(0, self._start_calls)
+
     def _call_legs(self, effect):
         started = self._clock.seconds()
         first_id = self._draw_id()
@@ -113,6 +134,11 @@
         return (self._clock.seconds() - started) * MS_PER_S
 
     def _cancel(self, effect):
+        waiting = self._waiting.pop(effect.call_id, None)
+        if waiting is not None:
+            unsent = ExchangeFailure(sent=False, reason="cancelled")
+            self._feed(read_legs_answer(waiting.call_id, waiting.legs, unsent, 0.0))
+            return
         exchange = self._exchanges.get(effect.call_id)
         if exchange is not None:
             exchange.cancel()
--- a/tests/contract/test_upstream_answers.py
+++ b/tests/contract/test_upstream_answers.py
@@ -42,6 +42,7 @@
 
     def carry_out(self, effect):
         self.upstreams.carriers[type(effect)](effect)
+        self.reactor.advance(0)
 
     def call_legs(self, *legs, call_id=1, address=ADDRESS):
         self.carry_out(CallUpstream(call_id, "u1", address, legs, 100))
@@ -295,3 +296,24 @@
         head = calls.accept().value().lower()
         assert b"connection: close" in head
     assert len(calls.reactor.tcpClients) == 2
+
+
+def test_call_that_is_cancelled_before_its_start_is_proved_unsent():
+    calls = Calls()
+    carriers = calls.upstreams.carriers
+    carriers[CallUpstream](CallUpstream(1, "u1", ADDRESS, (make_leg(),), 100))
+    carriers[CancelCall](CancelCall(1))
+    calls.reactor.advance(0)
+    (ended,) = calls.events
+    assert [each.status for each in ended.outcomes] == [LegStatus.NOT_SENT]
+    assert calls.reactor.tcpClients == []
+
+
+def test_many_calls_of_one_turn_all_start():
+    calls = Calls()
+    for call_id in range(1, 12):
+        effect = CallUpstream(call_id, "u1", ADDRESS, (make_leg(),), 100)
+        calls.upstreams.carriers[CallUpstream](effect)
+    for _ in range(4):
+        calls.reactor.advance(0)
+    assert len(calls.reactor.tcpClients) == 11
