--- a/src/heatherpick/_core/registrar.py
+++ b/src/heatherpick/_core/registrar.py
@@ -117,23 +117,24 @@
             return None
         if self._electorate.is_member and self._can_settle(now):
             return membership.settle()
-        if self._is_held(now):
+        is_held = self._is_held(now)
+        if self._electorate.is_member:
+            return self._update(membership, is_held, now)
+        if is_held or not self._may_join(now):
             return None
-        if not self._electorate.is_member:
-            return membership.add(self._own) if self._may_join(now) else None
-        return self._update(membership, now)
+        return membership.add(self._own)
 
-    def _update(self, membership, now):
+    def _update(self, membership, is_held, now):
         ended = {
             each.incarnation
             for each in membership.universe
             if each.incarnation not in membership.gone
             and self._has_ended(each.incarnation, now)
         }
-        lost = self._list_lost(membership, ended, now)
+        lost = set() if is_held else self._list_lost(membership, ended, now)
         if lost or ended:
             membership = membership.remove(lost, ended)
-        for link in self._list_newcomers(now):
+        for link in () if is_held else self._list_newcomers(now):
             membership = membership.add(link.as_member())
         return membership
 
