Votes move as soon as the calls that they permitted have ended

The stateful test found two nodes of a pair that knew different groupings and each took an upstream for the group whose tie it decides (x=1: 1+1).

Events say which way a lost connection went: a peer that lost its inbound connection otherwise went silent on a healthy outbound one.

--- a/src/heatherpick/_core/connections.py
+++ b/src/heatherpick/_core/connections.py
@@ -1,5 +1,7 @@
 """Which peers this node keeps connections to, and whether it watches."""
 
+from collections import Counter
+
 from heatherpick._core.effects import DropPeer, OpenPeer, SetWatch
 from heatherpick._core.rendezvous import rank
 
@@ -22,6 +24,7 @@
         self._links = links
         self._seeds = dict(seeds)
         self._callers = {}
+        self._n_inbound = Counter()
         self._opened = {}
         self._generation = -1
         self._owners = {}
@@ -30,10 +33,14 @@
     def accept(self, node, address):
         """Note that a peer has connected, and is to be connected to in turn."""
         self._callers[node] = address
+        self._n_inbound[node] += 1
 
     def forget(self, node):
-        """Note that the connection to or from a peer was lost."""
-        self._callers.pop(node, None)
+        """Note that one of the connections from a peer was lost."""
+        self._n_inbound[node] -= 1
+        if self._n_inbound[node] <= 0:
+            del self._n_inbound[node]
+            self._callers.pop(node, None)
 
     def address_of(self, node):
         """Return the ``ip:port`` at which a node takes peers, "" if unknown."""
--- a/src/heatherpick/_core/electorate.py
+++ b/src/heatherpick/_core/electorate.py
@@ -5,7 +5,7 @@
 
 from heatherpick._core.links import Ballot
 from heatherpick._core.membership import Membership
-from heatherpick._core.shares import Level, Share, weigh
+from heatherpick._core.shares import Share, weigh
 from heatherpick._core.tally import Tally
 from heatherpick._core.views import View
 
@@ -54,7 +54,7 @@
         self._grouping = 0
         self._ballot = Ballot()
         self._shares = {}
-        self._shrunk = -math.inf
+        self._over_until = -math.inf
         self._horizon = -math.inf
 
     @property
@@ -133,7 +133,7 @@
         changed = changed or ballot != self._ballot
         if ballot != self._ballot:
             if self._may_lose(self._ballot, ballot):
-                self._shrunk = now
+                self._note_loss(now)
             self._ballot = ballot
         if changed:
             self.has_changed = True
@@ -142,7 +142,12 @@
 
     def is_over(self, now):
         """Return whether calls may run that the present shares do not permit."""
-        return now < self._shrunk + self._timings.longest_call_s
+        return now < self._over_until
+
+    def clear(self):
+        """Note that no call runs that the present shares do not permit."""
+        self._over_until = -math.inf
+        self._horizon = -math.inf
 
     def is_heard(self, incarnation, now):
         """Return whether a peer has been heard within the suspicion time."""
@@ -163,7 +168,7 @@
         """Return when others are to be told of the end of a change, or None."""
         ends = [self._view.next_end()] if self._view.unsettled else []
         if self.is_over(now):
-            ends.append(self._shrunk + self._timings.longest_call_s)
+            ends.append(self._over_until)
         return min(ends, default=None)
 
     def share_of(self, group, now):
@@ -177,7 +182,8 @@
 
     def _names(self, voter, incarnation):
         ballot = self._links.get(voter).ballot
-        bit = self._memberships[ballot.epoch].bits.get(incarnation)
+        membership = self._memberships.get(ballot.epoch, self.membership)
+        bit = membership.bits.get(incarnation)
         either = ballot.settled | ballot.unsettled
         return bit is not None and bool(either & 1 << bit)
 
@@ -186,14 +192,12 @@
             return _CachedShare(Share(), math.inf)
         leases = self._list_votes(group, now)
         quorums = self.membership.quorums
-        level = min(self._weigh(group, quorum, leases) for quorum in quorums)
+        level = min(self._weigh(quorum, leases) for quorum in quorums)
         return _CachedShare(Share(level), min(leases.values(), default=math.inf))
 
-    def _weigh(self, group, quorum, leases):
+    def _weigh(self, quorum, leases):
         n_votes = sum(1 for each in leases if each in quorum)
-        if n_votes == 0:
-            return Level.NONE
-        first = self._tally.find_first(self.membership, quorum, group)
+        first = self._tally.find_first(self.membership, quorum)
         return weigh(n_votes, len(quorum), first in leases)
 
     def _list_votes(self, group, now):
@@ -228,7 +232,7 @@
         if link.ballot == link.stated:
             return False
         if self._may_lose(link.ballot, link.stated):
-            self._shrunk = now
+            self._note_loss(now)
         link.ballot = link.stated
         return True
 
@@ -294,7 +298,7 @@
     def _find_horizon(self, now):
         ends = [self._view.next_end() or math.inf]
         if self.is_over(now):
-            ends.append(self._shrunk + self._timings.longest_call_s)
+            ends.append(self._over_until)
         for each in self._view.settled | set(self._view.unsettled):
             link = self._links.get(each)
             if link is not None:
@@ -307,8 +311,11 @@
         link = self._links.get(incarnation)
         return 0 if link is None else link.n_sent + 1
 
+    def _note_loss(self, now):
+        self._over_until = now + self._timings.longest_call_s
+
     def _note_change(self, now):
-        self._shrunk = now
+        self._note_loss(now)
         self._horizon = -math.inf
         self._forget()
 
--- a/src/heatherpick/_core/events.py
+++ b/src/heatherpick/_core/events.py
@@ -68,9 +68,14 @@
 
 @dataclass(frozen=True, slots=True)
 class PeerLost:
-    """The connection to or from a peer closed, or could not be made."""
+    """A connection to a peer, or an inbound one from it, closed.
+
+    It comes once for each `PeerConnected` or `PeerHello` before it; an attempt that
+    fails gives none.
+    """
 
     node: str
+    inbound: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/heatherpick/_core/members.py
+++ b/src/heatherpick/_core/members.py
@@ -19,6 +19,9 @@
 #: Timer at which a vote has finished moving or calls of before a change have ended.
 VIEW_TIMER = "members:view"
 
+#: Seconds between two looks at the calls that the shares no longer permit.
+POLL_S = 0.02
+
 #: Seconds after which an unused link is forgotten.
 FORGET_S = 60.0
 
@@ -43,6 +46,7 @@
         self._generation = -1
         self._versions = {}
         self._spread_generation = -1
+        self._has_excess = None
         self._view_end = None
         self._owners = {}
         self._owners_key = None
@@ -76,6 +80,19 @@
         """Whether this node takes part in owning upstreams."""
         return self._electorate.is_member
 
+    def use_calls(self, has_excess):
+        """Ask ``has_excess`` which calls run, so that votes move without delay.
+
+        Without it a vote moves only after the longest time that a call may take.
+
+        Parameters
+        ----------
+        has_excess : callable
+            Takes the time and returns whether any upstream has more calls running
+            from this node than `share_of` permits of its warm slots.
+        """
+        self._has_excess = has_excess
+
     def start(self, now):
         """Return the first effects: connections, a read, a watch and a timer."""
         effects = self._registrar.start(now)
@@ -100,8 +117,10 @@
 
     def lost(self, event, now):
         """Handle the loss of a connection to or from a peer."""
-        self._links.disconnect(event.node)
-        self._connections.forget(event.node)
+        if event.inbound:
+            self._connections.forget(event.node)
+        else:
+            self._links.disconnect(event.node)
         return self._conclude(self._connections.open(), now)
 
     def heartbeat(self, node, heartbeat, now):
@@ -245,6 +264,17 @@
             event.node, event.incarnation, event.data_centre, address, now
         )
 
+    def _open_fellows(self, membership, now):
+        for member in membership.universe:
+            if member.incarnation != self._own.incarnation:
+                self._links.open(
+                    member.node,
+                    member.incarnation,
+                    self._data_centre,
+                    member.address,
+                    now,
+                )
+
     def _refresh(self, now):
         """Bring everything that a query depends on up to ``now``."""
         if self._generation != self._documents.generation:
@@ -254,14 +284,7 @@
     def _absorb(self, now):
         membership = self._documents.membership_of(self._data_centre)
         if membership.epoch != self._electorate.membership.epoch:
-            for member in membership.universe:
-                self._links.open(
-                    member.node,
-                    member.incarnation,
-                    self._data_centre,
-                    member.address,
-                    now,
-                )
+            self._open_fellows(membership, now)
             self._electorate.adopt(membership, now)
             self._registrar.note_membership(now)
         self._electorate.regroup(self._hash_groups(), now)
@@ -292,10 +315,19 @@
         if self._electorate.has_changed:
             self._electorate.has_changed = False
             effects += self._heartbeats.owe_all()
-        if not self._electorate.is_over(now):
+        if not self._is_over(now):
             effects += self._heartbeats.owe(self._heartbeats.list_misled())
         return effects + self._set_view_timer(now)
 
+    def _is_over(self, now):
+        if not self._electorate.is_over(now):
+            return False
+        if self._has_excess is None or self._has_excess(now):
+            return True
+        self._electorate.clear()
+        self._refresh(now)
+        return False
+
     def _spread(self):
         effects = []
         for name, version in self._documents.versions():
@@ -306,6 +338,8 @@
 
     def _set_view_timer(self, now):
         end = self._electorate.find_wake(now)
+        if self._has_excess is not None and self._electorate.is_over(now):
+            end = min(end, now + POLL_S)
         if end is None or (self._view_end is not None and self._view_end <= end):
             return []
         self._view_end = end
--- a/src/heatherpick/_core/tally.py
+++ b/src/heatherpick/_core/tally.py
@@ -4,6 +4,9 @@
 
 __all__ = ["Tally"]
 
+#: Key by which members are ranked to decide between two halves.
+TIE_KEY = "tie"
+
 #: Results that are kept before all are worked out anew.
 N_CACHED = 20_000
 
@@ -39,9 +42,13 @@
             self._store(self._tops, key, choice)
         return choice
 
-    def find_first(self, membership, quorum, group):
-        """Return the first by rank of a set of incarnations."""
-        for _, incarnation in self.rank(membership, group):
+    def find_first(self, membership, quorum):
+        """Return the member of a quorum whose vote decides between two halves.
+
+        It is the same for all groups: two nodes that know different groupings must
+        not each take an upstream for theirs.
+        """
+        for _, incarnation in self.rank(membership, TIE_KEY):
             if incarnation in quorum:
                 return incarnation
         return ""
