--- a/tests/stateful/test_admission.py
+++ b/tests/stateful/test_admission.py
@@ -49,7 +49,9 @@
         self.now = 1000.0
         self.documents = build_documents(2, LIMIT, n_group=1)
         self.members = FakeMembers("owner")
-        self.admission = Admission.from_parts("owner", self.documents, self.members)
+        self.admission = Admission.from_parts(
+            "owner", self.documents, self.members, 0.8
+        )
         self.full = self.documents.declarations
         self.timers = {}
         self.n_requests = 0
