Documents travel compressed between nodes

Ruled out: sending differences, which needs every node to hold the version that they start from. Change: the body of a document reply is compressed (zlib, level 1); the reader bounds what it expands to.

--- a/src/heatherpick/_shell/codec.py
+++ b/src/heatherpick/_shell/codec.py
@@ -14,6 +14,7 @@
 import msgpack
 
 from heatherpick._core import messages
+from heatherpick._shell.documents import decode_document, encode_document
 from heatherpick.errors import FrameError
 
 __all__ = ["MAX_FRAME_BYTES", "decode_message", "encode_message"]
@@ -247,3 +248,5 @@
 
 _ENCODERS = {cls: _build_encoder(cls) for cls in _TAGS}
 _DECODERS = {tag: _build_decoder(cls) for cls, tag in _TAGS.items()}
+_ENCODERS[messages.DocumentReply] = encode_document
+_DECODERS[_TAGS[messages.DocumentReply]] = decode_document
