Test modules stand in packages and none is named after the standard library's

Cause: the whole run stopped at collection in a fresh clone: tests/process/site.py met Python's own site module.

--- a/tests/process/fleet.py
+++ b/tests/process/fleet.py
@@ -20,7 +20,7 @@
 from standins.arrivals import Load, plan_requests
 from standins.records import Record
 from tests.process.history import History, Sighting
-from tests.process.site import HOST, PLACES, SERVICES, UPSTREAMS, Site
+from tests.process.sites import HOST, PLACES, SERVICES, UPSTREAMS, Site
 
 __all__ = ["Fleet", "Run"]
 
--- a/tests/process/test_faults.py
+++ b/tests/process/test_faults.py
@@ -8,7 +8,7 @@
 from heatherpick._core.rendezvous import find_first
 from heatherpick.declarations import Drains
 from tests.process.history import find_faults
-from tests.process.site import PLACES, SERVICES
+from tests.process.sites import PLACES, SERVICES
 
 #: Longer than the time after which a silent node is suspected.
 FREEZE_SECONDS = 2.5
