--- a/src/heatherpick/_core/admission.py
+++ b/src/heatherpick/_core/admission.py
@@ -2,21 +2,14 @@
 
 from itertools import count
 
+from heatherpick._core.calls import UpstreamCall
 from heatherpick._core.deadlines import DeadlineIndex
-from heatherpick._core.effects import (
-    CalledLeg,
-    CallUpstream,
-    CancelCall,
-    Count,
-    EndSpan,
-    Observe,
-)
+from heatherpick._core.effects import CancelCall, Count, Observe
 from heatherpick._core.messages import LegOutcome, LegStatus
 from heatherpick._core.outcomes import OutcomeList
 from heatherpick._core.queues import QueuedLeg, clamp_priority
 from heatherpick._core.slots import (
     N_QUEUED_LEGS,
-    UpstreamCall,
     UpstreamSlots,
 )
 
@@ -27,12 +20,6 @@
 
 DEADLINE_TIMER = "admission:deadlines"
 
-#: Statuses that show an upstream at work, whatever it said of one leg.
-_ANSWERS = frozenset({LegStatus.ANSWERED, LegStatus.GONE})
-
-#: Last digits of a W3C trace context whose sampled flag is set.
-_SAMPLED = frozenset("13579bdf")
-
 
 class Admission:
     """Queues, slots and ramps of the upstreams that this node owns.
@@ -94,10 +81,11 @@
         slots = call.slots
         slots.n_in_flight -= 1
         outcomes = OutcomeList()
-        statuses = self._report_call(call, event, outcomes, effects)
-        self._judge_call(call, event, statuses, now)
+        matched = call.match(event, effects)
+        self._report_call(call, matched, outcomes, effects)
+        call.teach(matched, event, now)
         effects.append(Observe("upstream_call_ms", slots.group.name, event.elapsed_ms))
-        effects += _build_spans(call, statuses, now)
+        effects += call.build_spans(matched, now)
         self._pump(slots, outcomes, effects, now)
         return effects + outcomes.build_effects()
 
@@ -198,7 +186,7 @@
         """Give back the slot of a granted user whose `OrderEnded` came."""
         slots = self._slots[upstream]
         slots.n_in_flight -= 1
-        self._judge(slots, {event.status}, event, started, 1, now)
+        slots.learn({event.status}, event, started, 1, now)
         effects = self._refresh(now)
         outcomes = OutcomeList()
         self._pump(slots, outcomes, effects, now)
@@ -361,11 +349,13 @@
 
     def _take_legs(self, slots, outcomes, now):
         legs = []
-        while len(legs) < slots.ramp.n_legs:
+        n_legs = slots.ramp.n_legs
+        last_chance = slots.last_chance(now)
+        while len(legs) < n_legs:
             leg = slots.queue.pop()
             if leg is None:
                 break
-            if slots.is_hopeless(leg, now):
+            if leg.deadline <= last_chance:
                 reason = "deadline" if now >= leg.deadline else "overload"
                 self._refuse_leg(leg, reason, outcomes)
             else:
@@ -373,93 +363,35 @@
         return legs
 
     def _start_call(self, slots, legs, now):
-        call_id = next(self._call_ids)
-        timeout_ms = (max(leg.deadline for leg in legs) - now) * 1000
-        call = UpstreamCall(call_id, slots, legs, now, timeout_ms, len(legs))
-        self._calls[call_id] = call
-        slots.n_in_flight += 1
-        called = []
-        for index, leg in enumerate(legs):
+        call = UpstreamCall(next(self._call_ids), slots, legs, now)
+        for leg in legs:
             leg.call = call
-            batch = leg.batch
-            called.append(
-                CalledLeg(
-                    index,
-                    leg.spec,
-                    batch.request_id,
-                    batch.version,
-                    batch.query,
-                    batch.traceparent,
-                )
-            )
-        upstream = slots.upstream
-        wait_ms = (now - legs[0].arrived) * 1000
-        return [
-            CallUpstream(
-                call_id, upstream.name, upstream.address, tuple(called), timeout_ms
-            ),
-            Observe("queue_wait_ms", slots.group.name, wait_ms),
-            Count("legs_sent", slots.group.name, len(legs)),
-        ]
-
-    def _report_call(self, call, event, outcomes, effects):
-        """Report each leg of an ended call once; returns the statuses by index."""
-        statuses = [None] * len(call.legs)
-        for outcome in event.outcomes:
-            index = outcome.leg_id
-            if not 0 <= index < len(statuses) or statuses[index] is not None:
-                effects.append(Count("outcomes_dropped", "strange"))
+        self._calls[call.call_id] = call
+        slots.n_in_flight += 1
+        return call.build_effects()
+
+    def _report_call(self, call, matched, outcomes, effects):
+        """Report each leg of an ended call unless it was reported before."""
+        n_late = 0
+        for leg, outcome in zip(call.legs, matched, strict=True):
+            if not leg.is_open:
+                n_late += 1
                 continue
-            statuses[index] = outcome.status
-            self._report_leg(call.legs[index], outcome, outcomes, effects)
-        for index, status in enumerate(statuses):
-            if status is None:
-                statuses[index] = LegStatus.UNKNOWN
-                leg = call.legs[index]
-                missing = LegOutcome(
-                    index, leg.spec.shard, LegStatus.UNKNOWN, reason="no outcome"
-                )
-                self._report_leg(leg, missing, outcomes, effects)
-        return statuses
-
-    def _report_leg(self, leg, outcome, outcomes, effects):
-        if not leg.is_open:
-            effects.append(Count("outcomes_dropped", "late"))
-            return
-        self._close_leg(leg)
-        outcomes.add(
-            leg,
-            LegOutcome(
-                leg.spec.leg_id,
-                outcome.shard,
-                outcome.status,
-                outcome.version,
-                outcome.hits,
-                outcome.reason,
-                outcome.service_ms,
-            ),
-        )
-
-    def _judge_call(self, call, event, statuses, now):
-        slots = call.slots
-        if call.is_cancelled and not _ANSWERS.intersection(statuses):
-            # Cut short it tells nothing, but a long wait in vain tells enough.
-            if not call.is_late and not slots.is_overdue(call, event.elapsed_ms):
-                return
-        self._judge(slots, statuses, event, call.started, len(call.legs), now)
-
-    def _judge(self, slots, statuses, event, started, n_legs, now):
-        """Let the ramp learn from the statuses of one call."""
-        ramp = slots.ramp
-        if _ANSWERS.intersection(statuses):
-            ramp.answered(event.instance, started, event.elapsed_ms, n_legs, now)
-            return
-        if ramp.is_new_instance(event.instance, started):
-            ramp.turn_cold(now)
-        if LegStatus.SHED in statuses:
-            ramp.shed(now)
-        else:
-            ramp.failed(LegStatus.FAILED in statuses, now)
+            self._close_leg(leg)
+            outcomes.add(
+                leg,
+                LegOutcome(
+                    leg.spec.leg_id,
+                    outcome.shard,
+                    outcome.status,
+                    outcome.version,
+                    outcome.hits,
+                    outcome.reason,
+                    outcome.service_ms,
+                ),
+            )
+        if n_late:
+            effects.append(Count("outcomes_dropped", "late", n_late))
 
     def _refuse_waiting(self, slots, reason, outcomes, effects, now):
         while slots.users:
@@ -504,28 +436,3 @@
             return []
         call.is_cancelled = True
         return [CancelCall(call.call_id)]
-
-
-def _build_spans(call, statuses, now):
-    """Return a span for each sampled query of a call."""
-    spans = {}
-    for leg, status in zip(call.legs, statuses, strict=True):
-        traceparent = leg.batch.traceparent
-        if traceparent[-1:] in _SAMPLED and traceparent not in spans:
-            spans[traceparent] = status
-    slots = call.slots
-    return [
-        EndSpan(
-            traceparent,
-            "upstream call",
-            call.started,
-            now,
-            (
-                ("upstream", slots.upstream.name),
-                ("n_legs", len(call.legs)),
-                ("status", status.name),
-                ("cancelled", call.is_cancelled),
-            ),
-        )
-        for traceparent, status in spans.items()
-    ]
--- /dev/null
+++ b/src/heatherpick/_core/calls.py
@@ -0,0 +1,148 @@
+"""Calls of legs in flight: what is sent, and what their end tells."""
+
+from heatherpick._core.effects import (
+    CalledLeg,
+    CallUpstream,
+    Count,
+    EndSpan,
+    Observe,
+)
+from heatherpick._core.messages import LegOutcome, LegStatus
+from heatherpick._core.ramp import SLOW_FACTOR
+from heatherpick._core.slots import ANSWERS
+
+__all__ = ["UpstreamCall"]
+
+#: Last digits of a W3C trace context whose sampled flag is set.
+_SAMPLED = frozenset("13579bdf")
+
+
+class UpstreamCall:
+    """A call in flight.
+
+    Parameters
+    ----------
+    call_id : int
+        Number of the call.
+    slots : UpstreamSlots
+        The upstream that it goes to.
+    legs : list of QueuedLeg
+        Its legs; the position is the index by which outcomes name them.
+    now : float
+        When it is sent, in seconds.
+
+    Attributes
+    ----------
+    n_open : int
+        Legs whose outcome is still owed.
+    is_cancelled : bool
+        Whether the shell was asked to cancel it.
+    is_late : bool
+        Whether the deadline of one of its legs passed in flight.
+    """
+
+    __slots__ = (
+        "call_id",
+        "is_cancelled",
+        "is_late",
+        "legs",
+        "n_open",
+        "slots",
+        "started",
+        "timeout_ms",
+    )
+
+    def __init__(self, call_id, slots, legs, now):
+        self.call_id = call_id
+        self.slots = slots
+        self.legs = legs
+        self.started = now
+        self.timeout_ms = (max([leg.deadline for leg in legs]) - now) * 1000
+        self.n_open = len(legs)
+        self.is_cancelled = False
+        self.is_late = False
+
+    def build_effects(self):
+        """Return the effects that send the call."""
+        called = []
+        for index, leg in enumerate(self.legs):
+            batch = leg.batch
+            called.append(
+                CalledLeg(
+                    index,
+                    leg.spec,
+                    batch.request_id,
+                    batch.version,
+                    batch.query,
+                    batch.traceparent,
+                )
+            )
+        upstream = self.slots.upstream
+        group = self.slots.group.name
+        wait_ms = (self.started - self.legs[0].arrived) * 1000
+        return [
+            CallUpstream(
+                self.call_id,
+                upstream.name,
+                upstream.address,
+                tuple(called),
+                self.timeout_ms,
+            ),
+            Observe("queue_wait_ms", group, wait_ms),
+            Count("legs_sent", group, len(called)),
+        ]
+
+    def match(self, event, effects):
+        """Return the outcome of each leg in order, one for each leg.
+
+        Outcomes of strange or doubled indices are dropped and counted; a leg
+        without one may have run.
+        """
+        matched = [None] * len(self.legs)
+        for outcome in event.outcomes:
+            index = outcome.leg_id
+            if not 0 <= index < len(matched) or matched[index] is not None:
+                effects.append(Count("outcomes_dropped", "strange"))
+            else:
+                matched[index] = outcome
+        for index, outcome in enumerate(matched):
+            if outcome is None:
+                shard = self.legs[index].spec.shard
+                matched[index] = LegOutcome(
+                    index, shard, LegStatus.UNKNOWN, reason="no outcome"
+                )
+        return matched
+
+    def teach(self, matched, event, now):
+        """Let the upstream's ramp learn from the end of the call."""
+        statuses = {outcome.status for outcome in matched}
+        if self.is_cancelled and statuses.isdisjoint(ANSWERS):
+            # Cut short it tells nothing, but a long wait in vain tells enough.
+            if not self.is_late and not self._is_overdue(event.elapsed_ms):
+                return
+        self.slots.learn(statuses, event, self.started, len(self.legs), now)
+
+    def build_spans(self, matched, now):
+        """Return a span for each sampled query of the call."""
+        spans = {}
+        for leg, outcome in zip(self.legs, matched, strict=True):
+            traceparent = leg.batch.traceparent
+            if traceparent[-1:] in _SAMPLED and traceparent not in spans:
+                spans[traceparent] = self._build_span(traceparent, outcome, now)
+        return list(spans.values())
+
+    def _build_span(self, traceparent, outcome, now):
+        attributes = (
+            ("upstream", self.slots.upstream.name),
+            ("n_legs", len(self.legs)),
+            ("status", outcome.status.name),
+            ("cancelled", self.is_cancelled),
+        )
+        return EndSpan(traceparent, "upstream call", self.started, now, attributes)
+
+    def _is_overdue(self, elapsed_ms):
+        """Return whether the call lasted far longer than calls mostly do."""
+        latency = self.slots.ramp.latency
+        if latency.n_samples:
+            return elapsed_ms > SLOW_FACTOR * latency.upper_ms
+        return elapsed_ms > self.timeout_ms / 2
--- a/src/heatherpick/_core/claim_buckets.py
+++ b/src/heatherpick/_core/claim_buckets.py
@@ -109,22 +109,28 @@
     def __init__(self, name, retention_s):
         self.name = name
         self._retention_s = retention_s
-        self.changes = []
         self.table = None
         self.version = 0
         self.n_failures = 0
         self.retry_at = 0.0
         self.used_at = 0.0
+        self._changes = []
+        self._unjudged = []
         self._n_requests = 0
         self._table_request = 0
         self._busy = False
         self._writing = None
         self._unsettled = None
 
+    @property
+    def has_changes(self):
+        """Whether anything is wanted."""
+        return bool(self._changes or self._unjudged)
+
     @property
     def is_idle(self):
         """Whether nothing is wanted and nothing is in flight."""
-        return not self.changes and not self._busy
+        return not self.has_changes and not self._busy
 
     @property
     def n_bytes(self):
@@ -134,27 +140,32 @@
     def add(self, change, now):
         """Take in a change."""
         change.wanted_at = self._n_requests
-        self.changes.append(change)
+        self._unjudged.append(change)
         self.used_at = now
 
     def settle(self, now):
-        """Finish every change that is decided."""
-        while True:
-            judged = self._judge_changes()
-            decided = [each for each in judged if each[2] is Need.NOTHING]
-            if not decided:
-                return
-            # What finishing one change adds is judged in the next round.
-            self.changes = [each[0] for each in judged if each[2] is not Need.NOTHING]
-            for change, view, _ in decided:
-                if not change.is_void:
-                    change.finish(view, now)
+        """Finish every change that is decided.
+
+        Changes are judged once when they come and again when the object becomes
+        known anew, so that a change costs nothing while others arrive.
+        """
+        while self._unjudged:
+            change = self._unjudged.pop()
+            view = self._view(change)
+            if self._judge(change, view) is not Need.NOTHING:
+                self._changes.append(change)
+            elif not change.is_void:
+                change.finish(view, now)
 
     def next_need(self, now):
         """Return what to ask of the platform now, as a `Need`."""
-        if self._busy or not self.changes or now < self.retry_at:
+        if self._busy or now < self.retry_at:
+            return Need.NOTHING
+        self._judge_again()
+        self.settle(now)
+        needs = {self._judge(each, self._view(each)) for each in self._changes}
+        if not needs:
             return Need.NOTHING
-        needs = {need for _, _, need in self._judge_changes()}
         return Need.READ if Need.READ in needs else Need.WRITE
 
     def begin_read(self):
@@ -166,8 +177,8 @@
         """Note that a write is asked for; returns its text."""
         table = self.table.copy()
         table.prune(now - self._retention_s)
-        for change, _, need in self._judge_changes():
-            if need is Need.WRITE:
+        for change in self._changes:
+            if self._judge(change, self._view(change)) is Need.WRITE:
                 change.is_in_write = True
                 change.apply(table, now)
         self._busy = True
@@ -203,13 +214,9 @@
         pause_s = FIRST_PAUSE_S * 2 ** min(self.n_failures, 8)
         self.retry_at = now + min(pause_s, LONGEST_PAUSE_S)
         self.n_failures += 1
-        for change in list(self.changes):
+        for change in list(self._unjudged):
             change.fail(self.n_failures, now)
 
-    def forget_table(self):
-        """Give back the memory of an idle bucket's object."""
-        self.table = None
-
     def _learn(self, version, table):
         self._end_request()
         if self._unsettled is not None and version > self._unsettled:
@@ -220,31 +227,43 @@
         self.n_failures = 0
 
     def _keep_trace(self):
-        for change in self.changes:
+        for change in self._changes:
             change.may_be_written |= change.is_in_write
 
     def _end_request(self):
         self._busy = False
         self._writing = None
-        for change in self.changes:
+        for change in self._changes:
             change.is_in_write = False
+        self._judge_again()
 
-    def _judge_changes(self):
-        """Return each change with what is known of its key and its need."""
-        given_up = {each.claim_id for each in self.changes if each.is_given_up}
-        return [self._judge(each, given_up) for each in self.changes]
+    def _judge_again(self):
+        # Judged from the end, so that the oldest comes first.
+        self._unjudged += reversed(self._changes)
+        self._changes = []
 
-    def _judge(self, change, given_up):
+    def _judge(self, change, view):
         if change.is_void:
-            return change, None, Need.NOTHING
+            return Need.NOTHING
+        return Need.READ if view is None else change.judge(view)
+
+    def _view(self, change):
         if self.table is None:
-            return change, None, Need.READ
+            return None
         entry = self.table.get(change.key)
-        view = View(
+        return View(
             entry,
             self._table_request > change.wanted_at,
             self._unsettled is None and self._writing is None,
             self.table.has_room,
-            entry is not None and entry.claim_id in given_up,
+            entry is not None and self._is_never_sent(entry, change),
+        )
+
+    def _is_never_sent(self, entry, change):
+        """Return whether an entry is another claim here that was given up."""
+        if entry.claim_id == change.claim_id:
+            return False
+        return any(
+            each.is_given_up and each.claim_id == entry.claim_id
+            for each in (*self._changes, *self._unjudged)
         )
-        return change, view, change.judge(view)
--- a/src/heatherpick/_core/claim_store.py
+++ b/src/heatherpick/_core/claim_store.py
@@ -35,16 +35,19 @@
         self._n_tokens = float(N_BURST_WRITES)
         self._filled_at = 0.0
 
-    def take(self, now):
-        """Return 0 and count a write, or the seconds to wait for the next."""
+    def wait(self, now):
+        """Return the seconds until the next write may be asked for."""
         gained = (now - self._filled_at) * self._n_per_s
         self._n_tokens = min(self._n_tokens + max(gained, 0.0), N_BURST_WRITES)
         self._filled_at = now
         if self._n_tokens < 1.0:
             return (1.0 - self._n_tokens) / self._n_per_s
-        self._n_tokens -= 1.0
         return 0.0
 
+    def take(self):
+        """Count a write."""
+        self._n_tokens -= 1.0
+
 
 class ClaimStore:
     """The buckets that this node has to do with.
@@ -67,6 +70,7 @@
         self._requests = {}
         self._numbers = count(1)
         self._dirty = {}
+        self._waiting = {}
         self._is_flushing = False
         self._armed_at = None
 
@@ -89,14 +93,18 @@
 
     def flush(self, now):
         """Finish what is decided and ask the platform for what is needed."""
+        # Finishing a change may ask for a flush: the one under way sees to it.
         if self._is_flushing:
             return
         self._is_flushing = True
         try:
+            self._write_waiting(now)
             while self._dirty:
-                _, bucket = self._dirty.popitem()
+                name = next(iter(self._dirty))
+                bucket = self._dirty.pop(name)
                 bucket.settle(now)
                 self._ask(bucket, now)
+                self._write_waiting(now)
         finally:
             self._is_flushing = False
         self._forget_idle()
@@ -131,7 +139,7 @@
         """Try again what had to wait."""
         self._armed_at = None
         for name, bucket in self._buckets.items():
-            if bucket.changes:
+            if bucket.has_changes:
                 self._dirty[name] = bucket
 
     def _end_request(self, event):
@@ -143,20 +151,34 @@
         return bucket
 
     def _ask(self, bucket, now):
-        need = bucket.next_need(now)
-        if need is Need.NOTHING:
-            if bucket.changes and now < bucket.retry_at:
-                self._arm(bucket.retry_at, now)
+        if bucket.name in self._waiting:
             return
+        need = bucket.next_need(now)
         if need is Need.READ:
             bucket.begin_read()
             token = self._begin_request(bucket)
             self._out.append(ReadObject(token, bucket.name, PLATFORM_TIMEOUT_MS))
-            return
-        wait_s = self._pacer.take(now)
-        if wait_s:
-            self._arm(now + wait_s, now)
-            return
+        elif need is Need.WRITE:
+            self._waiting[bucket.name] = bucket
+        elif bucket.has_changes and now < bucket.retry_at:
+            self._arm(bucket.retry_at, now)
+
+    def _write_waiting(self, now):
+        """Write buckets in the order in which they came to wait for a write."""
+        while self._waiting:
+            wait_s = self._pacer.wait(now)
+            if wait_s:
+                self._arm(now + wait_s, now)
+                return
+            bucket = self._waiting.pop(next(iter(self._waiting)))
+            # What was wanted may have been given up in the meantime.
+            if bucket.next_need(now) is Need.WRITE:
+                self._pacer.take()
+                self._write(bucket, now)
+            else:
+                self._dirty[bucket.name] = bucket
+
+    def _write(self, bucket, now):
         expected = bucket.version
         body = bucket.begin_write(now)
         token = self._begin_request(bucket)
--- a/src/heatherpick/_core/claims.py
+++ b/src/heatherpick/_core/claims.py
@@ -131,11 +131,14 @@
 
     def prune(self, before):
         """Forget claims made before a time in seconds."""
-        for key, row in list(self._rows.items()):
+        old = []
+        for key, row in self._rows.items():
             # Rows stand nearly in the order of their time, so the first young one
             # ends the search; a straggler behind it goes at a later write.
             if row[1] >= before:
-                return
+                break
+            old.append(key)
+        for key in old:
             self.release(key)
 
     def _set(self, key, row):
--- a/src/heatherpick/_core/outcomes.py
+++ b/src/heatherpick/_core/outcomes.py
@@ -15,13 +15,14 @@
 
     def add(self, leg, outcome):
         """Take in the outcome of a `QueuedLeg`."""
-        self._add(leg.source, leg.batch.request_id, outcome)
+        key = (leg.source, leg.batch.request_id)
+        self._outcomes.setdefault(key, []).append(outcome)
 
     def refuse(self, source, request_id, spec, reason):
         """Take in that a leg was not sent, and why."""
         self._n_refused[reason] = self._n_refused.get(reason, 0) + 1
         outcome = LegOutcome(spec.leg_id, spec.shard, LegStatus.NOT_SENT, reason=reason)
-        self._add(source, request_id, outcome)
+        self._outcomes.setdefault((source, request_id), []).append(outcome)
 
     def build_effects(self):
         """Return the messages to the legs' sources and the counts of refusals."""
@@ -32,10 +33,3 @@
         for reason, n_refused in self._n_refused.items():
             effects.append(Count("legs_not_sent", reason, n_refused))
         return effects
-
-    def _add(self, source, request_id, outcome):
-        key = (source, request_id)
-        if key in self._outcomes:
-            self._outcomes[key].append(outcome)
-        else:
-            self._outcomes[key] = [outcome]
--- a/src/heatherpick/_core/slots.py
+++ b/src/heatherpick/_core/slots.py
@@ -4,11 +4,12 @@
 from collections import deque
 from dataclasses import dataclass
 
-from heatherpick._core.queues import LegQueue, QueuedLeg
-from heatherpick._core.ramp import SLOW_FACTOR, Ramp
+from heatherpick._core.messages import LegStatus
+from heatherpick._core.queues import LegQueue
+from heatherpick._core.ramp import Ramp
 from heatherpick._declarations.model import Limit, Upstream
 
-__all__ = ["SlotUser", "UpstreamCall", "UpstreamSlots", "UpstreamStatus"]
+__all__ = ["ANSWERS", "SlotUser", "UpstreamSlots", "UpstreamStatus"]
 
 #: Legs that may wait for one upstream.
 N_QUEUED_LEGS = 512
@@ -16,6 +17,9 @@
 #: Share of the median service time below which a leg cannot be answered in time.
 HOPELESS_SHARE = 0.5
 
+#: Statuses that show an upstream at work, whatever it said of one leg.
+ANSWERS = frozenset({LegStatus.ANSWERED, LegStatus.GONE})
+
 
 class SlotUser(ABC):
     """Work other than legs that waits for a slot of an upstream."""
@@ -29,40 +33,6 @@
         """Note that no slot will come, and why; returns effects."""
 
 
-@dataclass(slots=True, eq=False)
-class UpstreamCall:
-    """A call in flight.
-
-    Parameters
-    ----------
-    call_id : int
-        Number of the call.
-    slots : UpstreamSlots
-        The upstream that it went to.
-    legs : list of QueuedLeg
-        Its legs; the position is the index by which outcomes name them.
-    started : float
-        When it was sent, in seconds.
-    timeout_ms : float
-        How long it may last.
-    n_open : int
-        Legs whose outcome is still owed.
-    is_cancelled : bool
-        Whether the shell was asked to cancel it.
-    is_late : bool
-        Whether the deadline of one of its legs passed in flight.
-    """
-
-    call_id: int
-    slots: "UpstreamSlots"
-    legs: list[QueuedLeg]
-    started: float
-    timeout_ms: float
-    n_open: int
-    is_cancelled: bool = False
-    is_late: bool = False
-
-
 @dataclass(frozen=True, slots=True)
 class UpstreamStatus:
     """What operators see of an upstream at its owner."""
@@ -127,20 +97,39 @@
             return False
         return wait_s + self.ramp.latency.median_ms / 1000 > remaining_s
 
-    def is_hopeless(self, leg, now):
-        """Return whether a leg that reached the front would still be late."""
+    def last_chance(self, now):
+        """Return the time up to which a leg's deadline cannot be met any more."""
         # An idle upstream is always tried: else a wrong estimate never mends.
         if self.n_in_flight == 0:
-            return now >= leg.deadline
-        least_s = HOPELESS_SHARE * self.ramp.latency.median_ms / 1000
-        return now + least_s >= leg.deadline
-
-    def is_overdue(self, call, elapsed_ms):
-        """Return whether a call lasted far longer than calls mostly do."""
-        latency = self.ramp.latency
-        if latency.n_samples:
-            return elapsed_ms > SLOW_FACTOR * latency.upper_ms
-        return elapsed_ms > call.timeout_ms / 2
+            return now
+        return now + HOPELESS_SHARE * self.ramp.latency.median_ms / 1000
+
+    def learn(self, statuses, event, started, n_legs, now):
+        """Let the ramp learn from the statuses of an ended call.
+
+        Parameters
+        ----------
+        statuses : set of LegStatus
+            How its parts ended.
+        event : CallEnded or OrderEnded
+            Its end.
+        started : float
+            When it was sent, in seconds.
+        n_legs : int
+            Number of its legs.
+        now : float
+            Present time in seconds.
+        """
+        ramp = self.ramp
+        if not statuses.isdisjoint(ANSWERS):
+            ramp.answered(event.instance, started, event.elapsed_ms, n_legs, now)
+            return
+        if ramp.is_new_instance(event.instance, started):
+            ramp.turn_cold(now)
+        if LegStatus.SHED in statuses:
+            ramp.shed(now)
+        else:
+            ramp.failed(LegStatus.FAILED in statuses, now)
 
     def describe(self, now):
         """Return the upstream's `UpstreamStatus`."""
--- a/tests/unit/test_orders.py
+++ b/tests/unit/test_orders.py
@@ -293,10 +293,9 @@
     assert not rig.take(WriteObject)
 
 
-def list_keys_of_one_bucket(n_keys):
+def list_keys_of_one_bucket(n_keys, bucket=5):
     names = (f"key{i}" for i in range(10_000))
-    same = [each for each in names if compute_bucket(each) == compute_bucket("key0")]
-    return same[:n_keys]
+    return [each for each in names if compute_bucket(each) == bucket][:n_keys]
 
 
 def test_claims_that_come_during_a_write_share_the_next():
@@ -310,21 +309,37 @@
     assert set(keys_of(rig.write())) == set(keys)
 
 
-def test_writes_are_paced():
-    rig = Rig(n_writes_per_s=1.0)
-    n_writes = 0
-    for i in range(40):
-        rig.call(f"r{i}", f"key{i}")
-        while rig.effects:
-            if reads := rig.take(ReadObject):
-                event = ObjectRead(reads[0].token, reads[0].name, 0, "")
+def play_platform(rig):
+    """Answer the platform's requests at once; returns the names written."""
+    written = []
+    while rig.effects:
+        if reads := rig.take(ReadObject):
+            for read in reads:
+                event = ObjectRead(read.token, read.name, 0, "")
                 rig.add(rig.orders.object_read(event, rig.now))
-            elif writes := rig.take(WriteObject):
-                n_writes += 1
-                rig.end_write(writes[0])
-            else:
-                rig.effects.clear()
-    assert n_writes == 20
+        elif writes := rig.take(WriteObject):
+            for write in writes:
+                written.append(write.name)
+                rig.end_write(write)
+        else:
+            rig.effects.clear()
+    return written
+
+
+def test_writes_are_paced_and_no_bucket_is_passed_over():
+    rig = Rig(n_writes_per_s=10.0)
+    written = []
+    for i in range(60):
+        rig.call(f"r{i}", f"key{i}", remaining_ms=60_000.0)
+        written += play_platform(rig)
+    buckets = list(dict.fromkeys(compute_bucket(f"key{i}") for i in range(60)))
+    n_buckets = len(buckets)
+    assert len(written) == 20 < n_buckets
+    for key in list_keys_of_one_bucket(n_buckets, buckets[-1]):
+        rig.call(key, key, remaining_ms=60_000.0)
+        rig.advance(0.11)
+        written += play_platform(rig)
+    assert len(set(written)) == n_buckets
 
 
 def begin(rig, key="k", deadline_ms=None):
