--- a/src/heatherpick/_core/admission.py
+++ b/src/heatherpick/_core/admission.py
@@ -32,10 +32,14 @@
         Gives ``declarations`` and ``drains``.
     members : Members
         Gives ``owner_of(group, now)`` and ``share_of(group, now)``.
+    longest_call_s : float
+        Longest time that a call of legs may take. A successor counts on it: by then
+        nothing of a node whose votes have lapsed is at an upstream any more.
     """
 
-    def __init__(self, node_name, documents, members):
+    def __init__(self, node_name, documents, members, longest_call_s):
         self._node_name = node_name
+        self._longest_call_ms = longest_call_s * 1000.0
         self._documents = documents
         self._members = members
         self._declarations = documents.declarations
@@ -49,9 +53,9 @@
         self._is_leaving = False
 
     @classmethod
-    def from_parts(cls, node_name, documents, members):
+    def from_parts(cls, node_name, documents, members, longest_call_s):
         """Return the admission of a node that owns nothing yet."""
-        return cls(node_name, documents, members)
+        return cls(node_name, documents, members, longest_call_s)
 
     def accept(self, source_node, batch, now):
         """Take in a `LegBatch` of ``source_node``; returns effects."""
@@ -363,7 +367,9 @@
         return legs
 
     def _start_call(self, slots, legs, now):
-        call = UpstreamCall(next(self._call_ids), slots, legs, now)
+        call = UpstreamCall(
+            next(self._call_ids), slots, legs, self._longest_call_ms, now
+        )
         for leg in legs:
             leg.call = call
         self._calls[call.call_id] = call
--- a/src/heatherpick/_core/calls.py
+++ b/src/heatherpick/_core/calls.py
@@ -28,6 +28,8 @@
         The upstream that it goes to.
     legs : list of QueuedLeg
         Its legs; the position is the index by which outcomes name them.
+    longest_ms : float
+        Longest time that it may take, whatever its legs' deadlines.
     now : float
         When it is sent, in seconds.
 
@@ -52,12 +54,13 @@
         "timeout_ms",
     )
 
-    def __init__(self, call_id, slots, legs, now):
+    def __init__(self, call_id, slots, legs, longest_ms, now):
         self.call_id = call_id
         self.slots = slots
         self.legs = legs
         self.started = now
-        self.timeout_ms = (max([leg.deadline for leg in legs]) - now) * 1000
+        remaining_ms = (max([leg.deadline for leg in legs]) - now) * 1000
+        self.timeout_ms = min(remaining_ms, longest_ms)
         self.n_open = len(legs)
         self.is_cancelled = False
         self.is_late = False
@@ -143,6 +146,6 @@
     def _is_overdue(self, elapsed_ms):
         """Return whether the call lasted far longer than calls mostly do."""
         latency = self.slots.ramp.latency
-        if latency.n_samples:
+        if latency.is_trusted:
             return elapsed_ms > SLOW_FACTOR * latency.upper_ms
         return elapsed_ms > self.timeout_ms / 2
--- a/src/heatherpick/_core/lifecycle.py
+++ b/src/heatherpick/_core/lifecycle.py
@@ -17,6 +17,10 @@
 #: deadline, so what is left by then belongs to callers that have given up.
 FINISH_MS = 10000.0
 
+#: Longest wait for owners that can be reached before callers are taken, in seconds.
+#: A node that is cut off serves what it can after that.
+OPEN_WAIT_S = 5.0
+
 _SETTLED = "lifecycle:settled"
 _CHECK = "lifecycle:check"
 
@@ -94,17 +98,20 @@
 
     Requests go on being taken until the balancer has had time to notice; a caller
     that it still sends in between is served, not refused.
+
+    Attributes
+    ----------
+    stage : str
+        Name of the stage.
     """
 
     def __init__(self):
         self._machine = _MACHINE(_Nothing())
+        # Read at every event, so it is kept beside the machine.
+        self.stage = self._machine.name()
+        self._open_by = None
         self._finish_by = None
 
-    @property
-    def stage(self):
-        """Name of the stage."""
-        return self._machine.name()
-
     @property
     def accepts(self):
         """Whether callers' requests are taken."""
@@ -115,15 +122,29 @@
         """Whether a planned stop has begun."""
         return self.stage in ("settling", "finishing", "stopped")
 
-    def open(self):
-        """Take callers from now on; return effects."""
-        return self._machine.open()
+    def open(self, can_route, now):
+        """Take callers as soon as they can be served; return effects.
+
+        Parameters
+        ----------
+        can_route : callable
+            Returns whether an owner of every group can be reached.
+        now : float
+            Time in seconds.
+        """
+        if self.stage != "starting":
+            return []
+        if self._open_by is None:
+            self._open_by = now + OPEN_WAIT_S
+        if now < self._open_by and not can_route():
+            return []
+        return self._step(self._machine.open)
 
     def stop(self, now):
         """Begin a planned stop; return effects."""
         if self._finish_by is None:
             self._finish_by = now + (SETTLE_MS + FINISH_MS) / 1000.0
-        return self._machine.stop()
+        return self._step(self._machine.stop)
 
     def timer(self, name, is_idle, now):
         """Take the next step of a stop; return effects.
@@ -138,7 +159,12 @@
             Time in seconds.
         """
         if name == _SETTLED:
-            return self._machine.settle()
+            return self._step(self._machine.settle)
         if is_idle or now >= self._finish_by:
-            return self._machine.finish()
+            return self._step(self._machine.finish)
         return [SetTimer(_CHECK, CHECK_MS)]
+
+    def _step(self, move):
+        effects = move()
+        self.stage = self._machine.name()
+        return effects
--- a/src/heatherpick/_core/searches.py
+++ b/src/heatherpick/_core/searches.py
@@ -1,5 +1,6 @@
 """Entry side of a search: spread the legs, hedge late ones, merge, answer in time."""
 
+import math
 from itertools import count
 
 from heatherpick._core.budgets import Budget
@@ -28,12 +29,18 @@
 
 #: Extra load on upstreams that no service may exceed, as a share of its legs.
 HARD_EXTRA_SHARE = 0.05
+#: Extra legs that a service may spend at once, enough to send again what was in
+#: flight at an owner that is lost.
+RETRY_BURST = 400.0
 #: Part of the time after which a service that weighs its tail settles for less.
 TAIL_PATIENCE = 0.75
-#: Attempts at one shard within one query.
+#: Attempts at one shard within one query that may have reached an upstream.
 MAX_ATTEMPTS = 5
-#: Wait before a shard that nobody admitted is tried again, in milliseconds.
+#: Wait before a shard that nobody admitted is tried again, in milliseconds. It
+#: doubles with each round, so that refusals do not become the load.
 RETRY_MS = 8.0
+#: Longest such wait, in milliseconds.
+LONGEST_RETRY_MS = 40.0
 #: Age at which an open leg is first suspected, in milliseconds, before any is known.
 INITIAL_HEDGE_MS = 30.0
 #: Earliest hedge, in milliseconds.
@@ -41,6 +48,12 @@
 #: Part of the hedging budget that the hedging age aims to use. The rest is kept
 #: for bursts, such as an owner that is lost with many legs.
 HEDGE_AIM = 0.7
+#: Largest hedging age, in medians of a leg's latency.
+LARGEST_AGE = 3.0
+#: Open legs that count as the last of a query, in times the hedging budget.
+LAST_LEGS = 2.0
+#: Wait before the last legs are hedged, as a part of the query's age.
+LAST_WAIT = 0.25
 #: Time below which nothing is sent any more, in milliseconds.
 LEAST_REMAINING_MS = 2.0
 
@@ -55,9 +68,22 @@
 
     def __init__(self, service):
         self.hedges = Budget(service.hedge_budget)
-        self.extra = Budget(HARD_EXTRA_SHARE)
+        self.extra = Budget(HARD_EXTRA_SHARE, RETRY_BURST)
         p = 1.0 - HEDGE_AIM * service.hedge_budget
-        self.age_ms = StreamQuantile(p, INITIAL_HEDGE_MS, LEAST_HEDGE_MS)
+        self._late_ms = StreamQuantile(p, INITIAL_HEDGE_MS, LEAST_HEDGE_MS)
+        self._median_ms = StreamQuantile(0.5, INITIAL_HEDGE_MS, LEAST_HEDGE_MS)
+
+    @property
+    def hedge_age_ms(self):
+        """Age from which an open leg is hedged, in milliseconds."""
+        # The high quantile alone follows a slow start or a stall for many queries,
+        # while the stragglers that it should catch go unhedged.
+        largest = LARGEST_AGE * self._median_ms.value
+        return min(self._late_ms.value, largest)
+
+    def learn(self, elapsed_ms):
+        self._late_ms.add(elapsed_ms)
+        self._median_ms.add(elapsed_ms)
 
     def earn(self, n_legs):
         self.hedges.earn(n_legs)
@@ -189,8 +215,11 @@
             return []
         if now >= query.answer_at or self._may_settle(query, now):
             return self._answer(query, now)
-        waiting = sorted(query.waiting)
-        effects = self._send_shards(query, waiting, now)
+        effects = []
+        if query.waiting and now >= query.retry_at:
+            query.refused.clear()
+            query.n_retry_rounds += 1
+            effects = self._send_shards(query, sorted(query.waiting), now)
         effects.extend(self._hedge(query, now))
         return effects + self._arm(query, now)
 
@@ -200,7 +229,7 @@
             "n_open_searches": len(self._queries),
             "hedges": {
                 name: {
-                    "age_ms": round(pace.age_ms.value, 2),
+                    "age_ms": round(pace.hedge_age_ms, 2),
                     "n_legs": pace.hedges.n_earned,
                     "n_hedges": pace.hedges.n_spent,
                     "n_extra": pace.extra.n_spent,
@@ -262,7 +291,7 @@
         if len(tried) >= MAX_ATTEMPTS:
             return "", ""
         usable = self._list_usable(query.snapshot.replicas[shard], now)
-        fresh = [name for name in usable if name not in tried]
+        fresh = query.list_fresh(shard, usable)
         if not fresh and hedge:
             return "", ""
         candidates = fresh or usable
@@ -320,13 +349,15 @@
             query.started_work = True
         effects.append(_build_leg_span(query, leg, status, now))
         if status is LegStatus.ANSWERED:
-            self._pace(query.service).age_ms.add(elapsed_ms)
+            self._pace(query.service).learn(elapsed_ms)
             self._cover(query, outcome, now, effects)
             return
         query.note_reason(outcome.reason or status.name.lower())
         effects.append(Count("legs_unanswered", status.name.lower()))
         if status is LegStatus.GONE:
             query.wants_move = True
+        if status in _PROVED_UNSTARTED:
+            query.retract(leg)
         self._plan_retry(query, leg.shard, status, retries)
 
     def _cover(self, query, outcome, now, effects):
@@ -337,7 +368,7 @@
             # The loser's time is a lower bound. Without it the hedging age would
             # only ever learn from legs that were fast enough.
             waited_ms = (now - query.open_legs[leg_id].sent) * 1000.0
-            self._pace(query.service).age_ms.add(waited_ms)
+            self._pace(query.service).learn(waited_ms)
         effects.extend(self._cancel(query, losers))
 
     def _lose_leg(self, query, leg_id, reason, now, retries):
@@ -363,18 +394,31 @@
         if self._may_move(query):
             return self._move(query, now)
         effects = []
-        fresh = [shard for shard in retries if self._has_fresh_replica(query, shard)]
+        replicas = query.snapshot.replicas
+        fresh = [each for each in retries if query.list_fresh(each, replicas[each])]
         query.waiting.update(shard for shard in retries if shard not in fresh)
         effects.extend(self._send_shards(query, fresh, now))
         if self._is_hopeless(query):
             return effects + self._answer(query, now)
-        if query.waiting:
+        is_new = self._plan_last_hedge(query, now)
+        if query.waiting or is_new:
             effects.extend(self._arm(query, now))
         return effects
 
-    def _has_fresh_replica(self, query, shard):
-        tried = query.tried.get(shard, ())
-        return any(name not in tried for name in query.snapshot.replicas[shard])
+    def _plan_last_hedge(self, query, now):
+        """Set when the last open legs are hedged; return whether that is new.
+
+        When all but a few legs have answered, this query itself shows how long a
+        leg takes at present. The hedging age, learnt from many queries, cannot know
+        that all of them are fast or slow just now.
+        """
+        if query.last_hedge_at < math.inf:
+            return False
+        n_last = LAST_LEGS * query.service.hedge_budget * query.snapshot.n_shards
+        if query.snapshot.n_shards - query.n_covered > max(1.0, n_last):
+            return False
+        query.last_hedge_at = now + LAST_WAIT * (now - query.started)
+        return True
 
     def _is_hopeless(self, query):
         if query.open_legs or query.wants_move:
@@ -404,16 +448,20 @@
         late = [
             leg
             for leg in query.open_legs.values()
-            if (now - leg.sent) * 1000.0 >= pace.age_ms.value
+            if not leg.hedge
             and len(query.open_of[leg.shard]) == 1
-            and not leg.hedge
+            and (
+                now >= query.last_hedge_at
+                or (now - leg.sent) * 1000.0 >= pace.hedge_age_ms
+            )
         ]
         late.sort(key=lambda leg: leg.sent)
         shards = []
         for leg in late:
             waited_ms = (now - leg.sent) * 1000.0
             self._replicas.learn_wait(leg.upstream, waited_ms, now)
-            if not self._list_usable_fresh(query, leg.shard, now):
+            usable = self._list_usable(query.snapshot.replicas[leg.shard], now)
+            if not query.list_fresh(leg.shard, usable):
                 continue
             if not pace.spend_hedge():
                 break
@@ -423,11 +471,6 @@
         effects = self._send_shards(query, shards, now, hedge=True)
         return [Count("extra_legs", "hedge", len(shards)), *effects]
 
-    def _list_usable_fresh(self, query, shard, now):
-        tried = query.tried.get(shard, ())
-        usable = self._list_usable(query.snapshot.replicas[shard], now)
-        return [name for name in usable if name not in tried]
-
     def _may_settle(self, query, now):
         if now < query.settle_at or query.service.weigh is not Weigh.TAIL:
             return False
@@ -438,13 +481,17 @@
         if now < query.settle_at:
             due = query.settle_at
         if query.waiting:
-            due = min(due, now + RETRY_MS / 1000.0)
+            if query.retry_at <= now:
+                query.retry_at = now + _get_retry_wait(query.n_retry_rounds)
+            due = min(due, query.retry_at)
         if query.open_legs:
-            age_s = self._pace(query.service).age_ms.value / 1000.0
+            age_s = self._pace(query.service).hedge_age_ms / 1000.0
             oldest = min(leg.sent for leg in query.open_legs.values())
             # A leg that is late already was not hedged for want of budget, which
             # other queries may have earned by the next look.
             due = min(due, max(oldest, now - age_s / 2.0) + age_s)
+            if query.last_hedge_at > now:
+                due = min(due, query.last_hedge_at)
         after_ms = max(0.1, (due - now) * 1000.0)
         return [SetTimer(f"searches:{query.request_id}", after_ms)]
 
@@ -490,6 +537,10 @@
         ]
 
 
+def _get_retry_wait(n_rounds):
+    return min(RETRY_MS * 2.0**n_rounds, LONGEST_RETRY_MS) / 1000.0
+
+
 def _refuse(request_id, reason):
     return AnswerCaller(request_id, Outcome.NOT_RUN, reason)
 
--- a/src/heatherpick/_core/slots.py
+++ b/src/heatherpick/_core/slots.py
@@ -92,6 +92,8 @@
 
     def is_too_late(self, n_ahead, remaining_s, allowance):
         """Return whether a leg behind ``n_ahead`` others would be late."""
+        if not self.ramp.latency.is_trusted:
+            return False
         wait_s = self.expected_wait_s(n_ahead, allowance)
         if wait_s == 0.0:
             return False
@@ -100,7 +102,7 @@
     def last_chance(self, now):
         """Return the time up to which a leg's deadline cannot be met any more."""
         # An idle upstream is always tried: else a wrong estimate never mends.
-        if self.n_in_flight == 0:
+        if self.n_in_flight == 0 or not self.ramp.latency.is_trusted:
             return now
         return now + HOPELESS_SHARE * self.ramp.latency.median_ms / 1000
 
--- a/tests/unit/test_searches.py
+++ b/tests/unit/test_searches.py
@@ -115,6 +115,11 @@
     return answer
 
 
+def get_wait(effects):
+    """Return the seconds until the query's timer, the last one set."""
+    return [each.after_ms for each in effects if isinstance(each, SetTimer)][-1] / 1000
+
+
 def has_answer(effects):
     return any(isinstance(effect, AnswerCaller) for effect in effects)
 
@@ -273,3 +278,68 @@
     begun = harness.begin()
     assert any(isinstance(effect, SetTimer) for effect in begun)
     assert any(isinstance(e, CancelTimer) for e in harness.answer(begun, 0.01))
+
+
+def test_shard_that_nobody_admits_is_retried_until_the_deadline():
+    harness = Harness()
+    effects = harness.begin()
+    n_rounds = 0
+    now = 0.0
+    while now < 0.15 or not list_batches(effects):
+        if list_batches(effects):
+            effects = harness.answer(effects, now, status=LegStatus.NOT_SENT)
+        else:
+            now += min(get_wait(effects), 0.04)
+            effects = harness.searches.timer("searches:q", now)
+            n_rounds += 1
+        assert not has_answer(effects)
+    answer = get_answer(harness.answer(effects, 0.19))
+    assert answer.outcome is Outcome.ANSWERED
+    assert n_rounds < 10
+
+
+def test_refusals_do_not_make_legs_go_round_without_a_wait():
+    harness = Harness()
+    effects = harness.begin()
+    n_legs = 0
+    for _ in range(10):
+        n_legs += sum(len(batch.legs) for _, batch in list_batches(effects))
+        effects = harness.answer(effects, 0.01, status=LegStatus.NOT_SENT)
+    assert n_legs == 2 * 20
+
+
+def test_what_was_in_flight_at_a_lost_owner_is_sent_again():
+    harness = Harness()
+    for number in range(400):
+        harness.answer(harness.begin(0.0, f"warm-{number}"), 0.001)
+    lost = 0
+    for number in range(20):
+        batches = list_batches(harness.begin(1.0, f"q{number}"))
+        lost += sum(len(batch.legs) for node, batch in batches if node == "node-one")
+    harness.members.dead.add("node-one")
+    again = list_batches(harness.searches.peer_lost("node-one", 1.01))
+    assert sum(len(batch.legs) for _, batch in again) == lost > 100
+
+
+def test_hedging_age_recovers_within_a_few_queries_of_a_stall():
+    harness = Harness()
+    for number in range(10):
+        started = number * 10.0
+        harness.answer(harness.begin(started, f"slow-{number}"), started + 0.15)
+    for number in range(10):
+        started = 100.0 + number
+        harness.answer(harness.begin(started, f"fast-{number}"), started + 0.01)
+    (hedges,) = harness.searches.describe()["hedges"].values()
+    assert hedges["age_ms"] < 40.0
+
+
+def test_last_legs_are_hedged_soon_after_all_others_have_answered():
+    harness = Harness()
+    for number in range(5):
+        started = float(number)
+        harness.answer(harness.begin(started, f"warm-{number}"), started + 0.06)
+    effects = harness.answer(harness.begin(10.0), 10.02, except_shards={3})
+    wait = get_wait(effects)
+    assert wait < 0.006
+    ((_, batch),) = list_batches(harness.searches.timer("searches:q", 10.02 + wait))
+    assert [leg.shard for leg in batch.legs] == [3]
