--- a/src/heatherpick/_core/heartbeats.py
+++ b/src/heatherpick/_core/heartbeats.py
@@ -16,6 +16,9 @@
 #: or with the next heartbeat, so that one node does not send it to all.
 N_TOLD_EARLY = 8
 
+#: Bytes of bit sets in a heartbeat; a peer cannot make this node keep more.
+N_BITS_BYTES = 512
+
 #: Members from which the longer time between heartbeats applies.
 N_SMALL = 46
 
@@ -32,6 +35,7 @@
         self._timings = timings
         self._grouping = 0
         self._owed = set()
+        self._misled = set()
         self._is_early_set = False
         self._is_released = False
         #: Nodes outside the data centre that get heartbeats too.
@@ -55,6 +59,8 @@
         effects : list
             Requests for newer documents, or the count of the drop.
         """
+        if len(heartbeat.settled) + len(heartbeat.unsettled) > N_BITS_BYTES:
+            return None, [Count("heartbeats_dropped", "size")]
         link = self._links.find(node, heartbeat.link)
         if link is None:
             return None, [Count("heartbeats_dropped", "link")]
@@ -69,10 +75,8 @@
         """Return a heartbeat to every receiver and the timer for the next."""
         self._owed.clear()
         effects = [self._send(link, now) for link in self.list_receivers()]
-        n_members = len(self._electorate.membership.members)
-        is_small = n_members <= N_SMALL
         interval_s = self._timings.heartbeat_s
-        if not is_small:
+        if len(self._electorate.membership.members) > N_SMALL:
             interval_s = self._timings.slow_heartbeat_s
         return [*effects, SetTimer(HEARTBEAT_TIMER, interval_s * 1000)]
 
@@ -100,22 +104,24 @@
         unaware.sort(key=lambda link: link.token_out)
         return self.owe(link.node for link in unaware[:N_TOLD_EARLY])
 
+    def owe_misled(self):
+        """Return the timer that tells peers that no more calls are to be awaited."""
+        links = self._reach(self._misled)
+        return self.owe(link.node for link in links if not link.is_unread)
+
     def pay(self, now):
         """Return the heartbeats that are owed."""
         self._is_early_set = False
-        links = [self._links.reach(node) for node in sorted(self._owed)]
-        self._owed.clear()
-        return [self._send(link, now) for link in links if link is not None]
+        owed, self._owed = sorted(self._owed), set()
+        return [self._send(link, now) for link in self._reach(owed)]
 
     def list_receivers(self):
         """Return the links that get a heartbeat regularly."""
-        fellows = self._list_fellows()
-        remote = [self._links.reach(node) for node in self.remote]
-        return fellows + [link for link in remote if link is not None]
+        return self._list_fellows() + self._reach(self.remote)
 
-    def list_misled(self):
-        """Return the nodes that were last told that calls may be running."""
-        return [link.node for link in self._list_fellows() if link.over_sent]
+    def _reach(self, nodes):
+        links = [self._links.reach(node) for node in nodes]
+        return [link for link in links if link is not None]
 
     def _list_fellows(self):
         return [
@@ -128,7 +134,10 @@
         is_fellow = link.data_centre == self._data_centre
         ballot = self._electorate.ballot
         over = self._electorate.is_over(now) or link.is_unread
-        link.over_sent = over
+        if over and is_fellow:
+            self._misled.add(link.node)
+        else:
+            self._misled.discard(link.node)
         versions = link.list_untold(self._documents.versions())
         sequence = link.stamp(now)
         if versions:
--- a/src/heatherpick/_core/links.py
+++ b/src/heatherpick/_core/links.py
@@ -10,6 +10,9 @@
 
 __all__ = ["Ballot", "Link", "Links"]
 
+#: Documents of which a peer's version is remembered.
+N_DOCUMENTS = 256
+
 #: Heartbeats whose time of sending is remembered for each peer.
 N_SENT = 64
 
@@ -60,7 +63,6 @@
     epoch_at: float = math.inf
     has_moved: bool = False
     over: bool = True
-    over_sent: bool = False
     leaving: bool = False
     released: bool = False
     stated: Ballot = Ballot()
@@ -142,6 +144,9 @@
     def note_versions(self, versions):
         """Note document versions that the peer holds."""
         for name, version in versions:
+            is_known = name in self.peer_versions
+            if not is_known and len(self.peer_versions) >= N_DOCUMENTS:
+                continue
             if version > self.peer_versions.get(name, 0):
                 self.peer_versions[name] = version
 
@@ -170,6 +175,7 @@
             )
             self._links[incarnation] = link
             self._by_token[link.token_in] = link
+        link.address = link.address or address
         return link
 
     def get(self, incarnation):
--- a/src/heatherpick/_core/members.py
+++ b/src/heatherpick/_core/members.py
@@ -243,7 +243,7 @@
             "ghosts": [each.node for each in membership.ghosts],
             "is_watching": self._connections.is_watching,
             "is_isolated": is_isolated,
-            "cannot_have_heard": not self._links.list_connected(),
+            "cannot_have_heard": not (live - {self._own.node}),
             "documents": dict(self._documents.versions()),
         }
 
@@ -316,7 +316,7 @@
             self._electorate.has_changed = False
             effects += self._heartbeats.owe_all()
         if not self._is_over(now):
-            effects += self._heartbeats.owe(self._heartbeats.list_misled())
+            effects += self._heartbeats.owe_misled()
         return effects + self._set_view_timer(now)
 
     def _is_over(self, now):
--- a/tests/stateful/network.py
+++ b/tests/stateful/network.py
@@ -167,9 +167,9 @@
                     self.start_call(upstream, share, now)
 
     def start_call(self, upstream, share, now):
-        call_s = TIMINGS.longest_call_s
+        call_s = self.network.longest_call_s
         if self.network.tells_calls:
-            call_s = self.network.random.choice([0.01, 0.1, call_s])
+            call_s = self.network.random.choice([0.01, 0.1 * call_s, call_s])
         running = self.calls[upstream]
         running[share] = max(running.get(share, 0.0), now + call_s)
 
@@ -208,6 +208,7 @@
         self.drop, self.duplicate, self.delay_s = 0.0, 0.0, 0.002
         self.vms = set()
         self.has_failed = False
+        self.longest_call_s = TIMINGS.longest_call_s
         #: Whether calls end at their own time and the nodes know of it.
         self.tells_calls = tells_calls
         names = {
@@ -261,6 +262,10 @@
                     f"{upstream} may get {calls} of {limit} at {self.now:.3f}"
                 )
 
+    def find_running(self):
+        """Return the names of the nodes that run, paused or not."""
+        return [each.name for each in self.nodes.values() if each.is_running]
+
     def find_owners(self, group):
         """Return the limit of 4 that each running node admits, where it is any."""
         limits = {
