--- /dev/null
+++ b/tests/unit/test_documents.py
@@ -0,0 +1,117 @@
+import pytest
+
+from heatherpick._core.documents import DECLARATIONS, DRAINS, RETRY_S, Documents
+from heatherpick._core.effects import SendPeer
+from heatherpick._core.membership import Member, Membership, encode_membership
+from heatherpick._core.messages import DocumentReply, DocumentRequest
+from heatherpick.declarations import DeclarationSet, Drains
+
+MEMBERSHIP = "shared/members/a"
+BODY = encode_membership(Membership(0, (Member("n", "1.2.3.4:5", "i"),)))
+
+
+def decode_drains(body):
+    if body == "broken":
+        raise RuntimeError("any error of a decoder")
+    return Drains(frozenset(body.split()))
+
+
+@pytest.fixture
+def documents():
+    return Documents.from_settings(
+        "n", "a", lambda body: DeclarationSet(), decode_drains
+    )
+
+
+def test_nothing_is_known_at_first(documents):
+    assert documents.versions() == ()
+    assert documents.get(DRAINS) == (0, "")
+    assert documents.drains == Drains()
+    assert documents.membership_of("a").members == ()
+
+
+def test_newer_version_is_learnt(documents):
+    assert documents.learn(DRAINS, 3, "a", 0.0)
+    assert documents.learn(DRAINS, 5, "b", 0.0)
+    assert documents.drains.data_centres == {"b"}
+    assert documents.get(DRAINS) == (5, "b")
+
+
+@pytest.mark.parametrize("version", [5, 4, 0])
+def test_version_is_never_lowered(documents, version):
+    documents.learn(DRAINS, 5, "b", 0.0)
+    assert not documents.learn(DRAINS, version, "a", 0.0)
+    assert documents.get(DRAINS) == (5, "b")
+    assert documents.drains.data_centres == {"b"}
+
+
+def test_body_that_does_not_decode_leaves_the_old_one(documents):
+    documents.learn(DRAINS, 5, "b", 0.0)
+    assert not documents.learn(DRAINS, 6, "broken", 0.0)
+    assert documents.get(DRAINS) == (5, "b")
+    assert documents.n_rejected == 1
+
+
+def test_rejected_version_is_not_asked_for_again(documents):
+    documents.learn(DRAINS, 6, "broken", 0.0)
+    assert documents.compare("p", [(DRAINS, 6)], 9.0) == []
+    assert documents.compare("p", [(DRAINS, 7)], 9.0) != []
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        "[]",
+        "{",
+        '{"members": 3}',
+        '{"members": [{"node": "n"}]}',
+        '{"members": [{"node": 1, "address": "x", "incarnation": "i"}]}',
+        '{"members": [], "previous": ["i"]}',
+        '{"members": [], "gone": [1]}',
+        BODY.replace(
+            '"ghosts":[', '"ghosts":[{"node":"m","address":"x","incarnation":"i"}'
+        ),
+    ],
+)
+def test_malformed_membership_is_rejected(documents, body):
+    assert not documents.learn(MEMBERSHIP, 2, body, 0.0)
+    assert documents.n_rejected == 1
+
+
+def test_membership_is_learnt(documents):
+    assert documents.learn(MEMBERSHIP, 2, BODY, 0.0)
+    assert documents.membership_of("a").epoch == 2
+    assert documents.address_of("n") == "1.2.3.4:5"
+    assert documents.address_of("m") == ""
+
+
+def test_unknown_names_are_neither_learnt_nor_asked_for(documents):
+    assert not documents.learn("claims/x", 1, "", 0.0)
+    assert documents.compare("p", [("claims/x", 1)], 0.0) == []
+
+
+def test_peer_cannot_make_a_node_hold_documents_without_end(documents):
+    for index in range(1000):
+        documents.compare("p", [(f"shared/members/{index}", 1)], 0.0)
+        documents.learn(f"shared/members/{index}", 1, BODY, 0.0)
+    assert len(documents.versions()) < 300
+
+
+def test_newer_document_is_asked_for_once_until_the_time_for_a_retry(documents):
+    request = [SendPeer("p", DocumentRequest(DRAINS))]
+    assert documents.compare("p", [(DRAINS, 2)], 1.0) == request
+    assert documents.compare("q", [(DRAINS, 2)], 1.1) == []
+    again = documents.compare("q", [(DRAINS, 2)], 1.0 + RETRY_S)
+    assert again == [SendPeer("q", DocumentRequest(DRAINS))]
+
+
+def test_older_document_is_not_asked_for(documents):
+    documents.learn(DRAINS, 2, "a", 0.0)
+    assert documents.compare("p", [(DRAINS, 2), (DECLARATIONS, 0)], 1.0) == []
+
+
+def test_request_is_answered_with_the_document(documents):
+    documents.learn(DRAINS, 2, "a", 0.0)
+    reply = DocumentReply(DRAINS, 2, "a")
+    assert documents.answer("p", DocumentRequest(DRAINS)) == [SendPeer("p", reply)]
+    assert documents.answer("p", DocumentRequest(DECLARATIONS)) == []
--- /dev/null
+++ b/tests/unit/test_membership.py
@@ -0,0 +1,195 @@
+import pytest
+
+from heatherpick._core.links import Links
+from heatherpick._core.membership import (
+    Member,
+    Membership,
+    decode_membership,
+    encode_membership,
+)
+from heatherpick._core.messages import Heartbeat
+from heatherpick._core.rendezvous import find_first, rank
+from heatherpick._core.timings import Timings
+from heatherpick._core.views import View
+from heatherpick.errors import InvalidArgument
+
+
+def make(name, start=1):
+    return Member(name, f"{name}:1", f"{name}#{start}")
+
+
+A, B, C = make("a"), make("b"), make("c")
+PAIR = Membership(4, (A, B))
+
+
+def test_added_member_waits_for_votes_among_those_before():
+    joint = PAIR.add(C)
+    assert joint.members == (A, B, C)
+    assert joint.quorums == ({"a#1", "b#1", "c#1"}, {"a#1", "b#1"})
+    assert joint.settle() == Membership(4, (A, B, C))
+
+
+def test_first_member_needs_nobody_else():
+    assert Membership().add(A).quorums == ({"a#1"},)
+
+
+def test_several_changes_keep_the_quorum_that_was_settled():
+    joint = PAIR.add(C).remove({"a#1"})
+    assert joint.members == (B, C)
+    assert joint.ghosts == (A,)
+    assert joint.previous == ("a#1", "b#1")
+
+
+def test_restarted_member_replaces_its_earlier_start_and_proves_its_end():
+    joint = PAIR.add(make("a", 2))
+    assert joint.members == (make("a", 2), B)
+    assert joint.ghosts == (A,)
+    assert joint.gone == {"a#1"}
+
+
+def test_restarted_ghost_is_proved_to_have_ended():
+    joint = PAIR.remove({"a#1"}).add(make("a", 2))
+    assert joint.gone == {"a#1"}
+
+
+def test_removed_member_that_comes_back_is_no_ghost():
+    joint = PAIR.remove({"a#1"}).add(A)
+    assert joint.members == (A, B)
+    assert joint.ghosts == ()
+
+
+def test_change_of_nothing_gives_the_same_membership():
+    assert PAIR.add(A) is PAIR
+    assert PAIR.remove({"c#1"}) is PAIR
+
+
+def test_document_is_read_back_as_written():
+    joint = PAIR.add(make("a", 2)).add(C)
+    assert decode_membership(4, encode_membership(joint)) == joint
+
+
+def test_absent_document_is_empty():
+    assert decode_membership(0, "") == Membership()
+
+
+def test_malformed_document_names_its_version():
+    with pytest.raises(InvalidArgument, match="document 7"):
+        decode_membership(7, "{")
+
+
+def test_too_short_suspicion_is_refused():
+    with pytest.raises(InvalidArgument, match="3.2"):
+        Timings(agree_s=2.0, longest_call_s=1.0, suspect_s=3.0)
+
+
+def test_rank_of_the_others_is_kept_when_a_node_is_lost():
+    names = [f"n{index}" for index in range(20)]
+    ranked = rank("key", names)
+    assert find_first("key", names) == ranked[0]
+    assert rank("key", [each for each in names if each != ranked[3]]) == (
+        *ranked[:3],
+        *ranked[4:],
+    )
+
+
+def test_keys_spread_over_all_nodes():
+    names = [f"n{index}" for index in range(8)]
+    owners = [find_first(f"key{index}", names) for index in range(800)]
+    assert all(60 <= owners.count(name) <= 140 for name in names)
+
+
+def test_no_nodes_own_no_key():
+    assert find_first("key", []) == ""
+
+
+def beat(link, sequence, echo=0):
+    return Heartbeat(link.token_in, sequence, echo, 0, b"", b"", 0, *[False] * 3, ())
+
+
+def test_lease_counts_from_the_sending_of_the_echoed_heartbeat():
+    link = Links("me").open("p", "p#1", "a", "", 0.0)
+    for now in (1.0, 2.0, 3.0):
+        link.stamp(now)
+    assert link.receive(beat(link, 1, echo=2), 9.0)
+    assert link.agreed == 2.0
+
+
+@pytest.mark.parametrize("sequence, echo", [(3, 0), (2, 0), (4, 9)])
+def test_late_repeated_or_impossible_heartbeat_is_dropped(sequence, echo):
+    link = Links("me").open("p", "p#1", "a", "", 0.0)
+    assert link.receive(beat(link, 3), 1.0)
+    assert not link.receive(beat(link, sequence, echo), 2.0)
+    assert link.heard == 1.0
+
+
+def test_heartbeat_is_known_by_the_start_of_its_sender_and_receiver():
+    links = Links("me#2")
+    old = links.open("p", "p#1", "a", "", 0.0)
+    new = links.open("p", "p#2", "a", "", 0.0)
+    meant_for_old_self = Links("me#1").open("p", "p#2", "a", "", 0.0)
+    assert links.find("p", old.token_in) is old
+    assert links.find("p", new.token_in) is new
+    assert links.find("q", new.token_in) is None
+    assert links.find("p", meant_for_old_self.token_in) is None
+
+
+class Sequences(dict):
+    def __call__(self, incarnation):
+        return self.get(incarnation, 1)
+
+
+def settle(*members):
+    view = View(suspect_s=3.5)
+    view.revise(set(members), set(), Sequences(), 0.0)
+    view.revise(set(members), set(), Sequences(), 3.5)
+    assert view.settled == set(members)
+    return view
+
+
+def test_member_that_comes_is_unsettled_until_all_holders_know():
+    view = settle("a", "b")
+    view.revise({"a", "b", "c"}, set(), Sequences(a=7, b=9), 10.0)
+    view.acknowledge("a", 7)
+    view.acknowledge("b", 8)
+    view.revise({"a", "b", "c"}, set(), Sequences(), 10.1)
+    assert set(view.unsettled) == {"c"}
+    view.acknowledge("b", 9)
+    view.revise({"a", "b", "c"}, set(), Sequences(), 10.2)
+    assert view.settled == {"a", "b", "c"}
+
+
+def test_member_that_comes_is_settled_once_the_leases_of_before_have_ended():
+    view = settle("a", "b")
+    view.revise({"a", "b", "c"}, set(), Sequences(), 10.0)
+    view.revise({"a", "b", "c"}, set(), Sequences(), 13.4)
+    assert set(view.unsettled) == {"c"}
+    view.revise({"a", "b", "c"}, set(), Sequences(), 13.5)
+    assert not view.unsettled
+
+
+def test_member_whose_lease_has_ended_is_dropped_at_once():
+    view = settle("a", "b")
+    view.revise({"a"}, {"b"}, Sequences(), 10.0)
+    assert view.settled == {"a"}
+    assert not view.unsettled
+
+
+def test_member_that_leaves_is_unsettled_until_it_knows():
+    view = settle("a", "b")
+    view.revise({"a"}, set(), Sequences(b=4), 10.0)
+    assert set(view.unsettled) == {"b"}
+    view.acknowledge("b", 4)
+    view.revise({"a"}, set(), Sequences(), 10.1)
+    assert not view.unsettled
+
+
+def test_withheld_votes_count_for_nobody_until_all_know():
+    view = settle("a", "b")
+    view.withhold(Sequences(a=2, b=2), 10.0)
+    assert view.settled == set()
+    view.acknowledge("a", 2)
+    view.revise({"a", "b"}, set(), Sequences(), 10.1)
+    assert view.settled == set()
+    view.acknowledge("b", 2)
+    view.revise({"a", "b"}, set(), Sequences(), 10.2)
+    assert view.settled == {"a", "b"}
