Orders wait out a change of ownership; results wait for the way back

A successor has no share for a moment, and a node that has just started reaches owners before their connection to it is back, so the result was dropped. Change: the entry asks again while the reason is one that passes, until its deadline, and takes an answer of any node that it asked. The owner keeps results for a node that it cannot reach, for 10 s. Tried and taken out: releasing the claim when the node that sent an order is lost. Its test is replaced by one that the order goes on and a repeat learns the outcome. The test that an order without a reachable owner is not run now expects that at the deadline. Red first: the new unit tests of waiting and of the way back.

--- a/src/heatherpick/_core/order_keeper.py
+++ b/src/heatherpick/_core/order_keeper.py
@@ -1,6 +1,6 @@
 """Orders at the node that claims their keys and sends them, each at most once."""
 
-from collections import OrderedDict
+from collections import OrderedDict, deque
 from itertools import count
 
 import orjson
@@ -28,6 +28,11 @@
 #: refusal must reach the caller while it still believes it.
 REPLY_S = 0.02
 
+#: Results that are kept for a node to which there is no connection, and for how
+#: long, in seconds.
+N_HELD_RESULTS = 256
+HOLD_S = 10.0
+
 CLAIM_TIMER = "orders:claims"
 
 #: Statuses that prove that an upstream has not started an order.
@@ -47,18 +52,32 @@
         Gives ``owner_of(group, now)``.
     slots : Admission
         Gives slots of upstreams.
+    connected : set of str
+        Nodes to which messages can be sent.
     out : list
         Effects go here.
     store : ClaimStore
         The claims.
     """
 
-    def __init__(self, node_name, incarnation, documents, members, slots, out, store):
+    def __init__(
+        self,
+        node_name,
+        incarnation,
+        documents,
+        members,
+        slots,
+        connected,
+        out,
+        store,
+    ):
         self._node_name = node_name
         self._incarnation = incarnation
         self._documents = documents
         self._members = members
         self._slots = slots
+        self._connected = connected
+        self._held = {}
         self._out = out
         self._store: ClaimStore = store
         self._orders = {}
@@ -79,11 +98,11 @@
         """Take in a `KeyedCall`."""
         order = self._orders.get((call.service, call.key))
         if order is not None:
-            self._join(order, source, call)
+            self._join(order, source, call, now)
             return
         reason = self._refusal(call)
         if reason:
-            self._send_result(source, call.request_id, Outcome.NOT_RUN, "", reason)
+            self._refuse(source, call, reason, now)
             return
         self._open(source, call, now)
 
@@ -116,18 +135,11 @@
         for order in due:
             order.life.give_up("deadline", now)
 
-    def peer_lost(self, node, now):
-        """Forget the requests of a node; an unsent order without any is given up.
-
-        Nobody would read its answer, and a repeat can only run if it did not.
-        """
-        for order in list(self._orders.values()):
-            if node not in order.waiters.values():
-                continue
-            for request_id in [k for k, v in order.waiters.items() if v == node]:
-                del order.waiters[request_id]
-            if not order.waiters:
-                order.life.give_up("orphan", now)
+    def peer_connected(self, node, now):
+        """Send the results that waited for the connection to a node."""
+        for held_at, result in self._held.pop(node, ()):
+            if now - held_at <= HOLD_S:
+                self._out.append(SendPeer(node, result))
 
     def begin_leaving(self):
         """Take no new order."""
@@ -191,20 +203,24 @@
     def answer_from(self, order, entry, now):
         """Answer a repeat from what the claims say about its key."""
         if entry.body_hash != order.body_hash:
-            self.answer(order, Outcome.NOT_RUN, "", "key of another order")
+            self.answer(order, Outcome.NOT_RUN, now, reason="key of another order")
         elif entry.receipt is not None:
-            self.answer(order, Outcome.ANSWERED, entry.receipt)
+            self.answer(order, Outcome.ANSWERED, now, entry.receipt)
         elif entry.is_answered:
-            self.answer(order, Outcome.UNKNOWN, "", "ran, receipt too long to keep")
+            self.answer(
+                order, Outcome.UNKNOWN, now, reason="ran, receipt too long to keep"
+            )
         else:
-            self.answer(order, Outcome.UNKNOWN, "", "claimed before, no outcome known")
+            self.answer(
+                order, Outcome.UNKNOWN, now, reason="claimed before, no outcome known"
+            )
 
-    def answer_free(self, order, reason):
+    def answer_free(self, order, reason, now):
         """Tell that the order did not run and that its key was seen free."""
         self._unknown.pop((order.call.service, order.key), None)
-        self.answer(order, Outcome.NOT_RUN, "", reason)
+        self.answer(order, Outcome.NOT_RUN, now, reason=reason)
 
-    def answer(self, order, outcome, receipt="", reason=""):
+    def answer(self, order, outcome, now, receipt="", reason=""):
         """Tell the outcome to all who wait, and forget the order."""
         name = (order.call.service, order.key)
         if outcome is Outcome.UNKNOWN:
@@ -214,13 +230,14 @@
         elif outcome is Outcome.NOT_RUN and name in self._unknown:
             # True of this request, but the caller asks about its key.
             outcome = Outcome.UNKNOWN
-        self.tell(order, outcome, receipt, reason)
+        self.tell(order, outcome, now, receipt, reason)
         self.forget(order)
 
-    def tell(self, order, outcome, receipt="", reason=""):
+    def tell(self, order, outcome, now, receipt="", reason=""):
         """Tell the outcome to all who wait."""
         for request_id, node in order.waiters.items():
-            self._send_result(node, request_id, outcome, receipt, reason)
+            result = KeyedResult(request_id, outcome, receipt, reason)
+            self._send_result(node, result, now)
         order.waiters.clear()
 
     def forget(self, order):
@@ -251,16 +268,14 @@
         self._out += self._deadlines.add(order, deadline - REPLY_S, now)
         self._store.add(call.service, order.claim, now)
 
-    def _join(self, order, source, call):
+    def _join(self, order, source, call, now):
         """Let a repeat wait for the order that is open already."""
         if compute_body_hash(call.body) != order.body_hash:
-            self._send_result(
-                source, call.request_id, Outcome.NOT_RUN, "", "key of another order"
-            )
+            self._refuse(source, call, "key of another order", now)
             return
         order.waiters[call.request_id] = source
         if order.receipt is not None:
-            self.tell(order, Outcome.ANSWERED, order.receipt)
+            self.tell(order, Outcome.ANSWERED, now, order.receipt)
 
     def _choose(self, order, now):
         """Return the best upstream for an order, or "" and the reason for none."""
@@ -281,11 +296,18 @@
                 usable.append(name)
         return (usable[0], "") if usable else ("", reason)
 
-    def _send_result(self, node, request_id, outcome, receipt, reason):
-        label = reason or outcome.name.lower()
+    def _refuse(self, source, call, reason, now):
+        result = KeyedResult(call.request_id, Outcome.NOT_RUN, reason=reason)
+        self._send_result(source, result, now)
+
+    def _send_result(self, node, result, now):
+        label = result.reason or result.outcome.name.lower()
         self._out.append(Count("orders", label))
-        result = KeyedResult(request_id, outcome, receipt, reason)
         self._out.append(SendPeer(node, result))
+        if node not in self._connected:
+            # A node that has just started reaches others before they reach it.
+            held = self._held.setdefault(node, deque(maxlen=N_HELD_RESULTS))
+            held.append((now, result))
 
 
 def _build_span(order, event, now):
--- a/src/heatherpick/_core/order_life.py
+++ b/src/heatherpick/_core/order_life.py
@@ -61,13 +61,13 @@
 
 
 def _refuse_unclaimed(life, order, reason, now):
-    order.keeper.answer_free(order, reason)
+    order.keeper.answer_free(order, reason, now)
 
 
 def _give_up_claim(life, order, reason, now):
     # The change stays in its bucket and undoes what a late write may do.
     order.claim.is_wanted = False
-    order.keeper.answer(order, Outcome.NOT_RUN, "", reason)
+    order.keeper.answer(order, Outcome.NOT_RUN, now, reason=reason)
 
 
 def _send(life, order, now):
@@ -82,13 +82,13 @@
 def _give_up_slot(life, order, reason, now):
     order.keeper.withdraw(order)
     order.keeper.release_claim(order, now)
-    order.keeper.answer(order, Outcome.NOT_RUN, "", reason)
+    order.keeper.answer(order, Outcome.NOT_RUN, now, reason=reason)
 
 
 def _answer(life, order, receipt, now):
     order.receipt = receipt
     order.keeper.record_outcome(order, now)
-    order.keeper.tell(order, Outcome.ANSWERED, receipt)
+    order.keeper.tell(order, Outcome.ANSWERED, now, receipt)
 
 
 def _hold_again(life, order, reason, now):
@@ -97,7 +97,7 @@
 
 
 def _vanish(life, order, reason, now):
-    order.keeper.answer(order, Outcome.UNKNOWN, "", reason)
+    order.keeper.answer(order, Outcome.UNKNOWN, now, reason=reason)
 
 
 def _record(life, order, now):
@@ -105,11 +105,11 @@
 
 
 def _release(life, order, now):
-    order.keeper.answer_free(order, order.reason)
+    order.keeper.answer_free(order, order.reason, now)
 
 
 def _answer_unreleased(life, order, reason, now):
-    order.keeper.answer(order, Outcome.NOT_RUN, "", order.reason)
+    order.keeper.answer(order, Outcome.NOT_RUN, now, reason=order.reason)
 
 
 def _build_life():
--- a/src/heatherpick/_core/orders.py
+++ b/src/heatherpick/_core/orders.py
@@ -1,7 +1,7 @@
 """Requests that may not be repeated: each runs at most once for its key."""
 
 from heatherpick._core.claim_store import FLUSH_TIMER, ClaimStore
-from heatherpick._core.order_entry import ENTRY_TIMER, OrderEntry
+from heatherpick._core.order_entry import ENTRY_TIMER, RETRY_TIMER, OrderEntry
 from heatherpick._core.order_keeper import CLAIM_TIMER, OrderKeeper
 from heatherpick.errors import InvalidArgument
 
@@ -47,10 +47,19 @@
         n_writes_per_s,
     ):
         self._out = []
+        self._node_name = node_name
+        self._connected = {node_name}
         self._store = ClaimStore(self._out, retention_s, n_writes_per_s)
-        self._entry = OrderEntry(node_name, documents, members, self._out)
+        self._entry = OrderEntry(documents, members, self._connected, self._out)
         self._keeper = OrderKeeper(
-            node_name, incarnation, documents, members, slots, self._out, self._store
+            node_name,
+            incarnation,
+            documents,
+            members,
+            slots,
+            self._connected,
+            self._out,
+            self._store,
         )
 
     @classmethod
@@ -133,19 +142,23 @@
             self._store.timer(now)
         elif name == ENTRY_TIMER:
             self._entry.timer(now)
+        elif name == RETRY_TIMER:
+            self._entry.retry(now)
         elif name == CLAIM_TIMER:
             self._keeper.timer(now)
         return self._keeper.take_effects(now)
 
     def peer_connected(self, node, now):
         """Note that messages can be sent to a node; returns effects."""
-        self._entry.peer_connected(node)
+        self._connected.add(node)
+        self._keeper.peer_connected(node, now)
         return self._keeper.take_effects(now)
 
     def peer_lost(self, node, now):
         """Note that a node is lost; returns effects."""
+        if node != self._node_name:
+            self._connected.discard(node)
         self._entry.peer_lost(node, now)
-        self._keeper.peer_lost(node, now)
         return self._keeper.take_effects(now)
 
     def caller_gone(self, request_id, now):
