--- a/src/heatherpick/_core/electorate.py
+++ b/src/heatherpick/_core/electorate.py
@@ -106,9 +106,10 @@
         link.stated = stated
         if self._read_ballot(link, now) or had_lapsed:
             self._forget()
-        if not heartbeat.over:
-            self._view.acknowledge(link.incarnation, heartbeat.echo)
-        if self._concerns_view(link, now):
+        is_done = not heartbeat.over and self._view.acknowledge(
+            link.incarnation, heartbeat.echo
+        )
+        if is_done or self._concerns_view(link, now):
             self._horizon = -math.inf
         return is_changed
 
@@ -147,7 +148,8 @@
     def clear(self):
         """Note that no call runs that the present shares do not permit."""
         self._over_until = -math.inf
-        self._horizon = -math.inf
+        if self._view.acknowledge(self._own, 0):
+            self._horizon = -math.inf
 
     def is_heard(self, incarnation, now):
         """Return whether a peer has been heard within the suspicion time."""
@@ -247,7 +249,7 @@
         return added != 0
 
     def _concerns_view(self, link, now):
-        if self._view.unsettled or link.released:
+        if link.released:
             return True
         is_known = link.incarnation in self.eligible
         return is_known != self._is_eligible(link.incarnation, now)
--- a/src/heatherpick/_core/registration.py
+++ b/src/heatherpick/_core/registration.py
@@ -62,14 +62,16 @@
         if event.token != self._token:
             return None
         self._token = ""
-        self._n_setbacks = 0
         self.has_read = True
-        body = getattr(event, "body", self._body)
+        body = getattr(event, "body", None)
+        if body is None:
+            self._n_setbacks = 0
+            body = self._body
         return event.version, body
 
     def wait_for_turn(self, now):
         """Return the timer for the next try after a conflict."""
-        return self._wait(FIRST_WAIT_S, now)
+        return self._back_off(now)
 
     def fail(self, event, now):
         """Return the timer for the next try after a call without an answer."""
@@ -77,15 +79,15 @@
             return []
         self._token = ""
         self.has_read = False
-        self._n_setbacks += 1
-        longest = min(LONGEST_WAIT_S, FIRST_WAIT_S * 2**self._n_setbacks)
-        return self._wait(longest, now)
+        return self._back_off(now)
 
     def wake(self):
         """Permit the next call; the wait of `PLATFORM_TIMER` is over."""
         self._not_before = 0.0
 
-    def _wait(self, longest_s, now):
+    def _back_off(self, now):
+        self._n_setbacks += 1
+        longest_s = min(LONGEST_WAIT_S, FIRST_WAIT_S * 2.0 ** min(self._n_setbacks, 10))
         draw = xxhash.xxh32_intdigest(f"{self._seed}\n{self._n_calls}".encode()) / 2**32
         wait_s = longest_s * (0.5 + draw / 2)
         self._not_before = now + wait_s
--- a/src/heatherpick/_core/views.py
+++ b/src/heatherpick/_core/views.py
@@ -73,10 +73,19 @@
         self.settled.clear()
 
     def acknowledge(self, incarnation, sequence):
-        """Note that a member acts on what heartbeat ``sequence`` told it."""
+        """Note that a member acts on what heartbeat ``sequence`` told it.
+
+        Returns
+        -------
+        bool
+            Whether a change waits for nobody any more.
+        """
+        is_done = False
         for change in self._changes.values():
             if change.awaited.get(incarnation, sequence + 1) <= sequence:
                 del change.awaited[incarnation]
+                is_done = is_done or not change.awaited
+        return is_done
 
     def next_end(self):
         """Return when a change ends by itself, None when there is none."""
--- a/tests/faults/test_members.py
+++ b/tests/faults/test_members.py
@@ -95,7 +95,7 @@
     network.resume(owner)
     node = network.nodes[owner]
     for group in list_groups(network):
-        assert node.members.share_of(group, network.now).limit(4) == 0
+        assert node.members.share_of(group, node.now).limit(4) == 0
 
 
 def test_cut_node_admits_nothing_and_the_others_go_on():
@@ -106,7 +106,7 @@
     for group in list_groups(network):
         assert owner not in network.find_owners(group)
     assert count_full(network) == len(list_groups(network))
-    assert network.nodes[owner].members.is_isolated(network.now)
+    assert network.nodes[owner].members.is_isolated(network.nodes[owner].now)
 
 
 def test_deaf_owner_loses_its_groups_to_those_that_hear_each_other():
@@ -285,7 +285,7 @@
     check_in_force(network, DRAINS)
     node = network.nodes[name]
     for group in node.documents.declarations.groups.values():
-        assert node.members.owner_of(group, network.now)
+        assert node.members.owner_of(group, node.now)
 
 
 def test_lost_write_answer_is_read_back_and_not_written_again():
--- a/tests/stateful/network.py
+++ b/tests/stateful/network.py
@@ -49,6 +49,8 @@
         self.network, self.name, self.data_centre = network, name, data_centre
         self.seeds = seeds
         self.n_starts = 0
+        #: Clocks of nodes have nothing in common but their rate.
+        self.clock_offset = 1000.0 * len(network.nodes)
         self.is_running = self.is_paused = self.is_watching = False
         self.backlog, self.timers, self.wanted = [], {}, {}
         self.counts = defaultdict(int)
@@ -87,9 +89,13 @@
         if self.is_paused:
             self.backlog.append((step, in_order))
             return
-        self.carry_out(step(self.network.now))
+        self.carry_out(step(self.now))
         self.check_versions()
 
+    @property
+    def now(self):
+        return self.network.now + self.clock_offset
+
     def check_versions(self):
         for name, version in self.documents.versions():
             assert version >= self.newest.get(name, 0), "a version went back"
@@ -156,7 +162,7 @@
         """Use the whole share of every upstream of this data centre."""
         if not self.is_running or self.is_paused:
             return
-        now = self.network.now
+        now = self.now
         groups = self.documents.declarations.groups.values()
         for group in groups:
             if group.data_centre != self.data_centre:
@@ -185,7 +191,7 @@
 
     def find_share(self, upstream):
         """Return the largest share by which calls may still be running."""
-        now = self.network.now
+        now = self.now
         shares = [
             share
             for share, until in self.calls.get(upstream, {}).items()
@@ -269,7 +275,7 @@
     def find_owners(self, group):
         """Return the limit of 4 that each running node admits, where it is any."""
         limits = {
-            node.name: node.members.share_of(group, self.now).limit(4)
+            node.name: node.members.share_of(group, node.now).limit(4)
             for node in self.nodes.values()
             if node.is_running and not node.is_paused
         }
@@ -371,9 +377,8 @@
         for group in groups.values():
             owners = self.find_owners(group)
             assert list(owners.values()) == [4], f"{group.name} is owned by {owners}"
-            routes = {
-                self.nodes[name].members.owner_of(group, self.now) for name in names
-            }
+            nodes = [self.nodes[name] for name in names]
+            routes = {each.members.owner_of(group, each.now) for each in nodes}
             assert routes == set(owners), f"{group.name} is sent to {routes}"
 
     # Peers
