A late leg may be hedged at its own replica; pace and targets in modules of their own

Cause: a shard with one replica in service, or whose other replica is known as slow, got no useful hedge: with one upstream 20 times slow, two shards of each query had it as their only other replica. Ruled out: a third replica by declaration, which users pay for. Change: a hedge goes to the replica that should answer first, where one that was tried counts three times its latency; a retry still prefers one that was not tried. Conclusion: the new test fails before the change and passes after it.

--- a/src/heatherpick/_core/reducer.py
+++ b/src/heatherpick/_core/reducer.py
@@ -94,9 +94,7 @@
             documents=documents,
             members=members,
             admission=admission,
-            searches=Searches(
-                settings.name, settings.data_centre, documents, members, rng
-            ),
+            searches=Searches(settings.data_centre, documents, members, rng),
             orders=Orders.from_parts(
                 settings.name,
                 incarnation,
--- a/src/heatherpick/_core/replicas.py
+++ b/src/heatherpick/_core/replicas.py
@@ -14,6 +14,9 @@
 HALF_LIFE_S = 5.0
 #: Time for which an upstream that refused or failed is passed over, in seconds.
 AVOID_S = 0.25
+#: How many times slower another replica must be before a shard is asked of one that
+#: was tried already.
+TRIED_FACTOR = 3.0
 #: Latency added for each leg outstanding at an upstream, as a share of its own.
 OUTSTANDING_WEIGHT = 0.1
 
@@ -42,7 +45,7 @@
         self._rng = rng
         self._estimates = {}
 
-    def choose(self, candidates, distances_ms, now):
+    def choose(self, candidates, distances_ms, now, tried=()):
         """Return the candidate that should answer first.
 
         Parameters
@@ -53,12 +56,17 @@
             Gives the network time to an upstream by its name.
         now : float
             Time in seconds.
+        tried : sequence of str, optional
+            Candidates that the same shard was asked of before.
         """
         if len(candidates) == 1:
             return candidates[0]
-        return min(
-            candidates, key=lambda name: self._score(name, distances_ms(name), now)
-        )
+
+        def score(name):
+            factor = TRIED_FACTOR if name in tried else 1.0
+            return self._score(name, distances_ms(name), factor, now)
+
+        return min(candidates, key=score)
 
     def begin(self, upstream):
         """Count a leg as outstanding."""
@@ -105,9 +113,10 @@
         age = now - estimate.updated
         return INITIAL_MS + excess * 0.5 ** (age / HALF_LIFE_S)
 
-    def _score(self, upstream, distance_ms, now):
+    def _score(self, upstream, distance_ms, factor, now):
         estimate = self._get(upstream)
         latency = self._fade(estimate, now)
         load = 1.0 + OUTSTANDING_WEIGHT * estimate.n_outstanding
         avoided = now < estimate.avoid_until
-        return avoided, latency * load + 2.0 * distance_ms, self._rng.random()
+        cost_ms = factor * latency * load + 2.0 * distance_ms
+        return avoided, cost_ms, self._rng.random()
--- a/src/heatherpick/_core/searches.py
+++ b/src/heatherpick/_core/searches.py
@@ -3,7 +3,6 @@
 import math
 from itertools import count
 
-from heatherpick._core.budgets import Budget
 from heatherpick._core.effects import (
     AnswerCaller,
     CancelTimer,
@@ -20,18 +19,14 @@
     LegStatus,
     Outcome,
 )
-from heatherpick._core.quantiles import StreamQuantile
+from heatherpick._core.pace import Pace
 from heatherpick._core.queries import OpenLeg, Query
 from heatherpick._core.replicas import Replicas
+from heatherpick._core.targets import Targets
 from heatherpick.declarations import Weigh
 
 __all__ = ["Searches"]
 
-#: Extra load on upstreams that no service may exceed, as a share of its legs.
-HARD_EXTRA_SHARE = 0.05
-#: Extra legs that a service may spend at once, enough to send again what was in
-#: flight at an owner that is lost.
-RETRY_BURST = 400.0
 #: Part of the time after which a service that weighs its tail settles for less.
 TAIL_PATIENCE = 0.75
 #: Attempts at one shard within one query that may have reached an upstream.
@@ -41,15 +36,6 @@
 RETRY_MS = 8.0
 #: Longest such wait, in milliseconds.
 LONGEST_RETRY_MS = 40.0
-#: Age at which an open leg is first suspected, in milliseconds, before any is known.
-INITIAL_HEDGE_MS = 30.0
-#: Earliest hedge, in milliseconds.
-LEAST_HEDGE_MS = 2.0
-#: Part of the hedging budget that the hedging age aims to use. The rest is kept
-#: for bursts, such as an owner that is lost with many legs.
-HEDGE_AIM = 0.7
-#: Largest hedging age, in medians of a leg's latency.
-LARGEST_AGE = 3.0
 #: Open legs that count as the last of a query, in times the hedging budget.
 LAST_LEGS = 2.0
 #: Wait before the last legs are hedged, as a part of the query's age.
@@ -63,45 +49,13 @@
 _PROVED_UNSTARTED = frozenset({LegStatus.NOT_SENT, LegStatus.SHED, LegStatus.GONE})
 
 
-class _Pace:
-    """Budgets and hedging age of one service."""
-
-    def __init__(self, service):
-        self.hedges = Budget(service.hedge_budget)
-        self.extra = Budget(HARD_EXTRA_SHARE, RETRY_BURST)
-        p = 1.0 - HEDGE_AIM * service.hedge_budget
-        self._late_ms = StreamQuantile(p, INITIAL_HEDGE_MS, LEAST_HEDGE_MS)
-        self._median_ms = StreamQuantile(0.5, INITIAL_HEDGE_MS, LEAST_HEDGE_MS)
-
-    @property
-    def hedge_age_ms(self):
-        """Age from which an open leg is hedged, in milliseconds."""
-        # The high quantile alone follows a slow start or a stall for many queries,
-        # while the stragglers that it should catch go unhedged.
-        largest = LARGEST_AGE * self._median_ms.value
-        return min(self._late_ms.value, largest)
-
-    def learn(self, elapsed_ms):
-        self._late_ms.add(elapsed_ms)
-        self._median_ms.add(elapsed_ms)
-
-    def earn(self, n_legs):
-        self.hedges.earn(n_legs)
-        self.extra.earn(n_legs)
-
-    def spend_hedge(self):
-        return self.extra.tokens >= 1.0 and self.hedges.spend() and self.extra.spend()
-
-
 class Searches:
     """Every search that this node has taken from a caller and not yet answered.
 
     Parameters
     ----------
-    node_name : str
-        Name of this node.
     data_centre : str
-        Name of its data centre.
+        Name of this node's data centre.
     documents : Documents
         Gives the declarations and drains in force.
     members : Members
@@ -110,12 +64,10 @@
         Breaks ties in the choice of replicas.
     """
 
-    def __init__(self, node_name, data_centre, documents, members, rng):
-        self._node_name = node_name
-        self._data_centre = data_centre
+    def __init__(self, data_centre, documents, members, rng):
         self._documents = documents
-        self._members = members
         self._replicas = Replicas(rng)
+        self._targets = Targets(data_centre, documents, members, self._replicas)
         self._queries = {}
         self._paces = {}
         self._leg_ids = count(1)
@@ -259,7 +211,7 @@
     def _pace(self, service):
         pace = self._paces.get(service.name)
         if pace is None or pace.hedges.share != service.hedge_budget:
-            pace = self._paces[service.name] = _Pace(service)
+            pace = self._paces[service.name] = Pace(service)
         return pace
 
     def _send_shards(self, query, shards, now, hedge=False):
@@ -274,8 +226,11 @@
         ]
 
     def _send_shard(self, query, shard, hedge, by_owner, now):
-        upstream, owner = self._choose(query, shard, hedge, now)
+        upstream, owner = "", ""
+        if len(query.tried.get(shard, ())) < MAX_ATTEMPTS:
+            upstream, owner = self._targets.choose(query, shard, hedge, now)
         if not upstream:
+            query.note_reason("no replica in service")
             if not hedge:
                 query.waiting.add(shard)
             return
@@ -286,42 +241,6 @@
         self._replicas.begin(upstream)
         by_owner.setdefault(owner, []).append(LegSpec(leg_id, upstream, shard))
 
-    def _choose(self, query, shard, hedge, now):
-        tried = query.tried.get(shard, ())
-        if len(tried) >= MAX_ATTEMPTS:
-            return "", ""
-        usable = self._list_usable(query.snapshot.replicas[shard], now)
-        fresh = query.list_fresh(shard, usable)
-        if not fresh and hedge:
-            return "", ""
-        candidates = fresh or usable
-        if not candidates:
-            query.note_reason("no replica in service")
-            return "", ""
-        upstream = self._replicas.choose(candidates, self._get_distance, now)
-        return upstream, usable[upstream]
-
-    def _list_usable(self, replicas, now):
-        declarations = self._documents.declarations
-        drains = self._documents.drains
-        usable = {}
-        for name in replicas:
-            upstream = declarations.upstreams.get(name)
-            if upstream is None or drains.covers(upstream):
-                continue
-            owner = self._members.owner_of(declarations.group_of[name], now)
-            if owner:
-                usable[name] = owner
-        return usable
-
-    def _get_distance(self, name):
-        declarations = self._documents.declarations
-        data_centre = declarations.upstreams[name].data_centre
-        if data_centre == self._data_centre:
-            return 0.0
-        region = declarations.regions[declarations.data_centres[data_centre].region]
-        return region.between_data_centres_ms
-
     def _build_batch(self, query, legs, now):
         return LegBatch(
             request_id=query.request_id,
@@ -460,9 +379,6 @@
         for leg in late:
             waited_ms = (now - leg.sent) * 1000.0
             self._replicas.learn_wait(leg.upstream, waited_ms, now)
-            usable = self._list_usable(query.snapshot.replicas[leg.shard], now)
-            if not query.list_fresh(leg.shard, usable):
-                continue
             if not pace.spend_hedge():
                 break
             shards.append(leg.shard)
--- a/tests/unit/test_searches.py
+++ b/tests/unit/test_searches.py
@@ -70,9 +70,7 @@
     def __init__(self, **keywords):
         self.documents = FakeDocuments(build_declarations(**keywords))
         self.members = FakeMembers()
-        self.searches = Searches(
-            "node-one", "one", self.documents, self.members, random.Random(7)
-        )
+        self.searches = Searches("one", self.documents, self.members, random.Random(7))
 
     def begin(self, now=0.0, request_id="q"):
         return self.searches.begin(RequestArrived(request_id, "lookup", "{}"), now)
@@ -343,3 +341,16 @@
     assert wait < 0.006
     ((_, batch),) = list_batches(harness.searches.timer("searches:q", 10.02 + wait))
     assert [leg.shard for leg in batch.legs] == [3]
+
+
+def test_late_leg_is_hedged_at_its_own_replica_when_there_is_no_other():
+    harness = Harness()
+    harness.documents.drains = Drains(frozenset({"two"}))
+    for number in range(5):
+        started = float(number)
+        harness.answer(harness.begin(started, f"warm-{number}"), started + 0.01)
+    harness.answer(harness.begin(10.0), 10.01, except_shards={3})
+    hedges = harness.searches.timer("searches:q", 10.05)
+    ((node, batch),) = list_batches(hedges)
+    assert (node, [leg.shard for leg in batch.legs]) == ("node-one", [3])
+    assert get_answer(harness.answer(hedges, 10.06)).outcome is Outcome.ANSWERED
