--- /dev/null
+++ b/src/heatherpick/_core/claim_buckets.py
@@ -0,0 +1,269 @@
+"""One claims object of the platform: what is wanted of it, and what is known."""
+
+from abc import ABC, abstractmethod
+from dataclasses import dataclass
+from enum import Enum
+
+from heatherpick._core.claims import ClaimEntry, ClaimTable
+
+__all__ = ["Change", "ClaimBucket", "Need", "View"]
+
+#: First and longest pause after the platform failed to answer, in seconds.
+FIRST_PAUSE_S = 0.1
+LONGEST_PAUSE_S = 2.0
+
+
+class Need(Enum):
+    """What a change still needs before it is decided."""
+
+    NOTHING = 0
+    READ = 1
+    WRITE = 2
+
+
+@dataclass(frozen=True, slots=True)
+class View:
+    """What is known of one key when a change to it is judged.
+
+    Parameters
+    ----------
+    entry : ClaimEntry or None
+        The key's claim in the newest known object.
+    is_fresh : bool
+        Whether the object was asked for after the change was wanted.
+    is_settled : bool
+        Whether no write of this node can still take effect unseen.
+    has_room : bool
+        Whether the object takes one more claim.
+    is_never_sent : bool
+        Whether the entry is a claim of this very node that it gave up unsent.
+    """
+
+    entry: ClaimEntry | None
+    is_fresh: bool
+    is_settled: bool
+    has_room: bool
+    is_never_sent: bool
+
+
+class Change(ABC):
+    """A change that is wanted of one key of a claims object.
+
+    Parameters
+    ----------
+    key : str
+        Idempotency key.
+    claim_id : str
+        Claim on behalf of which it is wanted.
+    """
+
+    def __init__(self, key, claim_id):
+        self.key = key
+        self.claim_id = claim_id
+        self.wanted_at = 0
+        self.is_in_write = False
+        self.may_be_written = False
+
+    @property
+    def is_void(self):
+        """Whether nothing is wanted any more and no trace of it can be left."""
+        return False
+
+    @property
+    def is_given_up(self):
+        """Whether this is a claim that was given up before its order was sent."""
+        return False
+
+    @abstractmethod
+    def judge(self, view):
+        """Return the `Need` that remains in face of a `View`."""
+
+    @abstractmethod
+    def finish(self, view, now):
+        """Act on the decision: there is no need any more."""
+
+    @abstractmethod
+    def apply(self, table, now):
+        """Make the change in a `ClaimTable`."""
+
+    @abstractmethod
+    def fail(self, n_failures, now):
+        """Note that the platform has failed to answer so often in a row."""
+
+
+class ClaimBucket:
+    """The claims object of one bucket.
+
+    At most one read or write is in flight. A write whose answer was lost may take
+    effect as long as the object still has the version that it expected. Until a
+    higher version was seen, an entry that is missing proves nothing.
+
+    Parameters
+    ----------
+    name : str
+        Name of the object.
+    retention_s : float
+        Seconds after which a claim is forgotten.
+    """
+
+    def __init__(self, name, retention_s):
+        self.name = name
+        self._retention_s = retention_s
+        self.table = None
+        self.version = 0
+        self.n_failures = 0
+        self.retry_at = 0.0
+        self.used_at = 0.0
+        self._changes = []
+        self._unjudged = []
+        self._n_requests = 0
+        self._table_request = 0
+        self._busy = False
+        self._writing = None
+        self._unsettled = None
+
+    @property
+    def has_changes(self):
+        """Whether anything is wanted."""
+        return bool(self._changes or self._unjudged)
+
+    @property
+    def is_idle(self):
+        """Whether nothing is wanted and nothing is in flight."""
+        return not self.has_changes and not self._busy
+
+    @property
+    def n_bytes(self):
+        """Memory that the known object takes, roughly."""
+        return self.table.n_bytes if self.table is not None else 0
+
+    def add(self, change, now):
+        """Take in a change."""
+        change.wanted_at = self._n_requests
+        self._unjudged.append(change)
+        self.used_at = now
+
+    def settle(self, now):
+        """Finish every change that is decided.
+
+        Changes are judged once when they come and again when the object becomes
+        known anew, so that a change costs nothing while others arrive.
+        """
+        while self._unjudged:
+            change = self._unjudged.pop()
+            view = self._view(change)
+            if self._judge(change, view) is not Need.NOTHING:
+                self._changes.append(change)
+            elif not change.is_void:
+                change.finish(view, now)
+
+    def next_need(self, now):
+        """Return what to ask of the platform now, as a `Need`."""
+        if self._busy or now < self.retry_at:
+            return Need.NOTHING
+        self._judge_again()
+        self.settle(now)
+        needs = {self._judge(each, self._view(each)) for each in self._changes}
+        if not needs:
+            return Need.NOTHING
+        return Need.READ if Need.READ in needs else Need.WRITE
+
+    def begin_read(self):
+        """Note that a read was asked for."""
+        self._busy = True
+        self._n_requests += 1
+
+    def begin_write(self, now):
+        """Note that a write is asked for; returns its text."""
+        table = self.table.copy()
+        table.prune(now - self._retention_s)
+        for change in self._changes:
+            if self._judge(change, self._view(change)) is Need.WRITE:
+                change.is_in_write = True
+                change.apply(table, now)
+        self._busy = True
+        self._n_requests += 1
+        self._writing = table
+        return table.build_body()
+
+    def end_write(self, version):
+        """Note that the write took effect."""
+        self._keep_trace()
+        self._learn(version, self._writing)
+
+    def end_read(self, version, body, now):
+        """Note what a read, or a write that lost a race, showed.
+
+        Raises
+        ------
+        FrameError
+            If the text is no table of claims.
+        """
+        table = ClaimTable.from_body(body)
+        table.prune(now - self._retention_s)
+        self._learn(version, table)
+
+    def fail(self, was_sent, now):
+        """Note that the platform did not answer."""
+        if self._writing is not None and was_sent:
+            self._unsettled = self.version
+        if was_sent:
+            self._keep_trace()
+        self._end_request()
+        self.table = None
+        pause_s = FIRST_PAUSE_S * 2 ** min(self.n_failures, 8)
+        self.retry_at = now + min(pause_s, LONGEST_PAUSE_S)
+        self.n_failures += 1
+        for change in list(self._unjudged):
+            change.fail(self.n_failures, now)
+
+    def _learn(self, version, table):
+        self._end_request()
+        if self._unsettled is not None and version > self._unsettled:
+            self._unsettled = None
+        self.version = version
+        self.table = table
+        self._table_request = self._n_requests
+        self.n_failures = 0
+
+    def _keep_trace(self):
+        for change in self._changes:
+            change.may_be_written |= change.is_in_write
+
+    def _end_request(self):
+        self._busy = False
+        self._writing = None
+        for change in self._changes:
+            change.is_in_write = False
+        self._judge_again()
+
+    def _judge_again(self):
+        # Judged from the end, so that the oldest comes first.
+        self._unjudged += reversed(self._changes)
+        self._changes = []
+
+    def _judge(self, change, view):
+        if change.is_void:
+            return Need.NOTHING
+        return Need.READ if view is None else change.judge(view)
+
+    def _view(self, change):
+        if self.table is None:
+            return None
+        entry = self.table.get(change.key)
+        return View(
+            entry,
+            self._table_request > change.wanted_at,
+            self._unsettled is None and self._writing is None,
+            self.table.has_room,
+            entry is not None and self._is_never_sent(entry, change),
+        )
+
+    def _is_never_sent(self, entry, change):
+        """Return whether an entry is another claim here that was given up."""
+        if entry.claim_id == change.claim_id:
+            return False
+        return any(
+            each.is_given_up and each.claim_id == entry.claim_id
+            for each in (*self._changes, *self._unjudged)
+        )
--- /dev/null
+++ b/src/heatherpick/_shell/platform.py
@@ -0,0 +1,122 @@
+"""Calls to the platform's object API over HTTP."""
+
+from random import Random
+from urllib.parse import quote
+
+import orjson
+
+from heatherpick._core.effects import ListVms, ReadObject, SetWatch, WriteObject
+from heatherpick._core.events import ObjectFailed
+from heatherpick._shell.exchanges import ExchangePool
+from heatherpick._shell.objects import (
+    parse_vms,
+    read_object_answer,
+    read_write_answer,
+)
+from heatherpick._shell.watch import Watch
+from heatherpick.errors import FrameError
+
+__all__ = ["Platform"]
+
+MS_PER_S = 1000.0
+#: Seconds to wait for the list of VMs.
+LIST_TIMEOUT_S = 5.0
+
+
+class Platform:
+    """Carries out the reducer's calls to the platform.
+
+    Parameters
+    ----------
+    feed : callable
+        Takes an event.
+    address : str
+        ``ip:port`` of the platform, or "" where there is none.
+    reactor : IReactorTCP and IReactorTime
+        Opens connections and keeps the time.
+    count : callable
+        ``count(name, label)`` adds one to a counter.
+    seed : int
+        Seed of the spread of retries.
+    """
+
+    def __init__(self, feed, address, reactor, count, seed):
+        self._feed = feed
+        self._address = address
+        self._reactor = reactor
+        self._count = count
+        self._random = Random(seed)
+        self._pool = ExchangePool(reactor)
+        self._watch = None
+
+    @property
+    def carriers(self):
+        """Dict of effect type to the method that carries it out."""
+        return {
+            ReadObject: self._read,
+            WriteObject: self._write,
+            SetWatch: self._set_watch,
+            ListVms: self._list_vms,
+        }
+
+    def close(self):
+        """Stop the watch and close the idle connections."""
+        self._set_watch(SetWatch(False))
+        self._pool.close()
+
+    def _read(self, effect):
+        if self._is_absent(effect):
+            return
+        self._get(
+            f"/v1/objects/{quote(effect.name)}",
+            effect.timeout_ms / MS_PER_S,
+            lambda result: self._finish(read_object_answer(effect, result)),
+        )
+
+    def _write(self, effect):
+        if self._is_absent(effect):
+            return
+        self._pool.request(
+            b"PUT",
+            self._address,
+            f"/v1/objects/{quote(effect.name)}".encode(),
+            {b"if-match": b"%d" % effect.expected},
+            orjson.dumps({"body": effect.body}),
+            effect.timeout_ms / MS_PER_S,
+            lambda result: self._finish(read_write_answer(effect, result)),
+        )
+
+    def _is_absent(self, effect):
+        if not self._address:
+            self._finish(ObjectFailed(effect.token, effect.name, sent=False))
+        return not self._address
+
+    def _finish(self, event):
+        if type(event) is ObjectFailed:
+            self._count("platform_failed", "sent" if event.sent else "unsent")
+        self._feed(event)
+
+    def _get(self, path, timeout_s, done):
+        return self._pool.request(
+            b"GET", self._address, path.encode(), {}, None, timeout_s, done
+        )
+
+    def _set_watch(self, effect):
+        if effect.on and self._watch is None and self._address:
+            self._watch = Watch(
+                self._feed, self._get, self._reactor, self._count, self._random
+            )
+            self._watch.open()
+        elif not effect.on and self._watch is not None:
+            self._watch.close()
+            self._watch = None
+
+    def _list_vms(self, _effect):
+        if self._address:
+            self._get("/v1/vms", LIST_TIMEOUT_S, self._finish_list)
+
+    def _finish_list(self, result):
+        try:
+            self._feed(parse_vms(result))
+        except FrameError as error:
+            self._count("list_failed", str(error))
