A lost inbound connection no longer silences a healthy outbound one

Cause: the shell told of both kinds of loss alike, and the membership gave up its own connection when the peer's closed; it was dialled back only after a new loss. Callers were dialled back for ever, as their loss was not told apart either. Change: the shell says which one closed.

--- a/src/heatherpick/_core/admission.py
+++ b/src/heatherpick/_core/admission.py
@@ -144,6 +144,10 @@
             for slots in self._slots.values()
         )
 
+    def has_excess(self, now):
+        """Return whether more calls are in flight than this node's shares permit."""
+        return any(self._exceeds_share(slots, now) for slots in self._slots.values())
+
     def describe(self, now):
         """Return an `UpstreamStatus` for each upstream that had work here."""
         return tuple(slots.describe(now) for slots in self._slots.values())
@@ -255,6 +259,12 @@
         allowance = share.limit(n_slots)
         return allowance, "" if allowance > 0 else "no share"
 
+    def _exceeds_share(self, slots, now):
+        if slots.n_in_flight == 0:
+            return False
+        share = self._members.share_of(slots.group, now)
+        return slots.n_in_flight > share.limit(slots.limit.n_slots)
+
     def _share_of(self, group, now, shares):
         if group.name not in shares:
             is_owner = self._members.owner_of(group, now) == self._node_name
--- a/src/heatherpick/_core/connections.py
+++ b/src/heatherpick/_core/connections.py
@@ -1,7 +1,5 @@
 """Which peers this node keeps connections to, and whether it watches."""
 
-from collections import Counter
-
 from heatherpick._core.effects import DropPeer, OpenPeer, SetWatch
 from heatherpick._core.rendezvous import rank
 
@@ -24,7 +22,6 @@
         self._links = links
         self._seeds = dict(seeds)
         self._callers = {}
-        self._n_inbound = Counter()
         self._opened = {}
         self._generation = -1
         self._owners = {}
@@ -33,14 +30,10 @@
     def accept(self, node, address):
         """Note that a peer has connected, and is to be connected to in turn."""
         self._callers[node] = address
-        self._n_inbound[node] += 1
 
     def forget(self, node):
-        """Note that one of the connections from a peer was lost."""
-        self._n_inbound[node] -= 1
-        if self._n_inbound[node] <= 0:
-            del self._n_inbound[node]
-            self._callers.pop(node, None)
+        """Note that the newest connection from a peer was lost."""
+        self._callers.pop(node, None)
 
     def address_of(self, node):
         """Return the ``ip:port`` at which a node takes peers, "" if unknown."""
--- a/src/heatherpick/_core/events.py
+++ b/src/heatherpick/_core/events.py
@@ -68,10 +68,10 @@
 
 @dataclass(frozen=True, slots=True)
 class PeerLost:
-    """A connection to a peer, or an inbound one from it, closed.
+    """The connection to a peer closed or could not be made.
 
-    It comes once for each `PeerConnected` or `PeerHello` before it; an attempt that
-    fails gives none.
+    With ``inbound`` it is the newest connection from the peer that closed; the one
+    to it may go on.
     """
 
     node: str
--- a/src/heatherpick/_core/reducer.py
+++ b/src/heatherpick/_core/reducer.py
@@ -87,6 +87,7 @@
         admission = Admission.from_parts(
             settings.name, documents, members, timings.longest_call_s
         )
+        members.use_calls(admission.has_excess)
         rng = random.Random(seed)
         return cls(
             name=settings.name,
--- a/src/heatherpick/_shell/peers.py
+++ b/src/heatherpick/_shell/peers.py
@@ -291,7 +291,7 @@
         node = protocol.hello.node
         if self._incoming.get(node) is protocol:
             del self._incoming[node]
-            self.feed(PeerLost(node))
+            self.feed(PeerLost(node, inbound=True))
 
     def _open(self, effect):
         if effect.node == self._hello.node:
