--- a/src/heatherpick/_core/reducer.py
+++ b/src/heatherpick/_core/reducer.py
@@ -87,6 +87,7 @@
         admission = Admission.from_parts(
             settings.name, documents, members, timings.longest_call_s
         )
+        members.use_calls(admission.has_excess)
         rng = random.Random(seed)
         return cls(
             name=settings.name,
@@ -94,9 +95,7 @@
             documents=documents,
             members=members,
             admission=admission,
-            searches=Searches(
-                settings.name, settings.data_centre, documents, members, rng
-            ),
+            searches=Searches(settings.data_centre, documents, members, rng),
             orders=Orders.from_parts(
                 settings.name,
                 incarnation,
