--- a/src/heatherpick/_core/claim_buckets.py
+++ b/src/heatherpick/_core/claim_buckets.py
@@ -83,8 +83,8 @@
         """Act on the decision: there is no need any more."""
 
     @abstractmethod
-    def apply(self, table, now):
-        """Make the change in a `ClaimTable`."""
+    def apply(self, table, wall_s):
+        """Make the change in a `ClaimTable`; ``wall_s`` is the time of day."""
 
     @abstractmethod
     def fail(self, n_failures, now):
@@ -104,11 +104,15 @@
         Name of the object.
     retention_s : float
         Seconds after which a claim is forgotten.
+    wall_offset_s : float
+        Seconds to add to ``now`` for the time of day. Nodes share the claims, and
+        their own clocks count from the start of each VM.
     """
 
-    def __init__(self, name, retention_s):
+    def __init__(self, name, retention_s, wall_offset_s):
         self.name = name
         self._retention_s = retention_s
+        self._wall_offset_s = wall_offset_s
         self.table = None
         self.version = 0
         self.n_failures = 0
@@ -176,16 +180,19 @@
     def begin_write(self, now):
         """Note that a write is asked for; returns its text."""
         table = self.table.copy()
-        table.prune(now - self._retention_s)
+        table.prune(self._find_oldest(now))
         for change in self._changes:
             if self._judge(change, self._view(change)) is Need.WRITE:
                 change.is_in_write = True
-                change.apply(table, now)
+                change.apply(table, now + self._wall_offset_s)
         self._busy = True
         self._n_requests += 1
         self._writing = table
         return table.build_body()
 
+    def _find_oldest(self, now):
+        return now + self._wall_offset_s - self._retention_s
+
     def end_write(self, version):
         """Note that the write took effect."""
         self._keep_trace()
@@ -200,7 +207,7 @@
             If the text is no table of claims.
         """
         table = ClaimTable.from_body(body)
-        table.prune(now - self._retention_s)
+        table.prune(self._find_oldest(now))
         self._learn(version, table)
 
     def fail(self, was_sent, now):
--- a/src/heatherpick/_core/claim_store.py
+++ b/src/heatherpick/_core/claim_store.py
@@ -60,11 +60,14 @@
         Seconds after which a claim is forgotten.
     n_writes_per_s : float
         Writes a second that this node may ask of the platform.
+    wall_offset_s : float
+        Seconds to add to ``now`` for the time of day.
     """
 
-    def __init__(self, out, retention_s, n_writes_per_s):
+    def __init__(self, out, retention_s, n_writes_per_s, wall_offset_s):
         self._out = out
         self._retention_s = retention_s
+        self._wall_offset_s = wall_offset_s
         self._pacer = WritePacer(n_writes_per_s)
         self._buckets = {}
         self._requests = {}
@@ -84,7 +87,7 @@
         name = format_object_name(service, compute_bucket(change.key))
         bucket = self._buckets.get(name)
         if bucket is None:
-            bucket = ClaimBucket(name, self._retention_s)
+            bucket = ClaimBucket(name, self._retention_s, self._wall_offset_s)
             self._buckets[name] = bucket
         bucket.add(change, now)
         if now < bucket.retry_at:
--- a/src/heatherpick/_core/order_life.py
+++ b/src/heatherpick/_core/order_life.py
@@ -194,10 +194,10 @@
         else:
             life.lose(entry, now)
 
-    def apply(self, table, now):
+    def apply(self, table, wall_s):
         """Put the claim in, or take it out."""
         if self.is_wanted:
-            table.claim(self.key, self.claim_id, now, self._order.body_hash)
+            table.claim(self.key, self.claim_id, wall_s, self._order.body_hash)
             return
         entry = table.get(self.key)
         if entry is not None and entry.claim_id == self.claim_id:
@@ -235,12 +235,12 @@
         """Tell the order that its outcome is kept."""
         self._order.life.record(now)
 
-    def apply(self, table, now):
+    def apply(self, table, wall_s):
         """Put the outcome in."""
         entry = table.get(self.key)
         if entry is None:
             # The claim was pruned: the repeat that comes even later is told so.
-            table.claim(self.key, self.claim_id, now, self._order.body_hash)
+            table.claim(self.key, self.claim_id, wall_s, self._order.body_hash)
             entry = table.get(self.key)
         table.record(self.key, entry, self._order.receipt)
 
--- a/src/heatherpick/_core/orders.py
+++ b/src/heatherpick/_core/orders.py
@@ -34,6 +34,8 @@
         the wall clock, as claims are read by other nodes.
     n_writes_per_s : float
         Writes a second that this node may ask of the platform.
+    wall_offset_s : float
+        Seconds to add to ``now`` for the time of day, by which claims age.
     """
 
     def __init__(
@@ -45,11 +47,12 @@
         slots,
         retention_s,
         n_writes_per_s,
+        wall_offset_s,
     ):
         self._out = []
         self._node_name = node_name
         self._connected = {node_name}
-        self._store = ClaimStore(self._out, retention_s, n_writes_per_s)
+        self._store = ClaimStore(self._out, retention_s, n_writes_per_s, wall_offset_s)
         self._entry = OrderEntry(documents, members, self._connected, self._out)
         self._keeper = OrderKeeper(
             node_name,
@@ -72,6 +75,7 @@
         slots,
         retention_s,
         n_writes_per_s=N_WRITES_PER_S,
+        wall_offset_s=0.0,
     ):
         """Return the orders of a node that has none yet.
 
@@ -94,6 +98,7 @@
             slots,
             retention_s,
             n_writes_per_s,
+            wall_offset_s,
         )
 
     def begin(self, event, now):
--- a/src/heatherpick/_core/reducer.py
+++ b/src/heatherpick/_core/reducer.py
@@ -59,7 +59,7 @@
         self._timers = self._list_timers()
 
     @classmethod
-    def from_settings(cls, settings, incarnation, seed):
+    def from_settings(cls, settings, incarnation, seed, wall_offset_s=0.0):
         """Build a node's reducer.
 
         Parameters
@@ -70,6 +70,8 @@
             Unique id of this start of the process.
         seed : int
             Seed of every random choice.
+        wall_offset_s : float, default=0.0
+            Seconds to add to the events' time for the time of day.
         """
         timings = Timings.from_settings(settings)
         documents = Documents.from_settings(
@@ -103,6 +105,7 @@
                 members,
                 admission,
                 settings.key_retention_hours * SECONDS_PER_HOUR,
+                wall_offset_s=wall_offset_s,
             ),
             lifecycle=Lifecycle(),
             overload=Overload(),
--- a/src/heatherpick/_shell/node.py
+++ b/src/heatherpick/_shell/node.py
@@ -110,7 +110,9 @@
         """
         incarnation = secrets.token_hex(N_INCARNATION_BYTES)
         seed = secrets.randbits(N_SEED_BITS)
-        reducer = NodeReducer.from_settings(settings, incarnation, seed)
+        # Claims are shared by VMs whose own clocks count from their start.
+        wall_offset_s = time.time() - reactor.seconds()
+        reducer = NodeReducer.from_settings(settings, incarnation, seed, wall_offset_s)
         logs = Logs.from_settings(settings)
         logs.take_library_faults()
         metrics = Metrics()
--- a/tests/unit/test_orders.py
+++ b/tests/unit/test_orders.py
@@ -4,7 +4,8 @@
 import pytest
 
 from heatherpick._core.admission import Admission
-from heatherpick._core.claims import MAX_CLAIM_BYTES, compute_bucket
+from heatherpick._core.claim_buckets import Change, ClaimBucket, Need
+from heatherpick._core.claims import MAX_CLAIM_BYTES, ClaimTable, compute_bucket
 from heatherpick._core.effects import (
     AnswerCaller,
     CallOrder,
@@ -488,3 +489,37 @@
 def test_unsafe_settings_are_refused(retention_s, rate):
     with pytest.raises(InvalidArgument):
         Orders.from_parts("n", "s", None, None, None, retention_s, rate)
+
+
+class RecordingChange(Change):
+    """A change that always wants its write, and keeps the time it is given."""
+
+    wall_s = None
+
+    def judge(self, view):
+        return Need.WRITE
+
+    def finish(self, view, now):
+        pass
+
+    def apply(self, table, wall_s):
+        self.wall_s = wall_s
+
+    def fail(self, n_failures, now):
+        pass
+
+
+def test_claims_age_by_the_time_of_day_whatever_a_vm_counts_from():
+    table = ClaimTable.from_body("")
+    table.claim("k", "c1", 1_000_100.0, "h")
+    for now, is_kept in ((500_000.0, True), (503_700.0, False)):
+        bucket = ClaimBucket("claims/s/0", 3600.0, wall_offset_s=500_200.0)
+        bucket.end_read(1, table.build_body(), now)
+        assert (bucket.table.get("k") is not None) is is_kept
+    bucket = ClaimBucket("claims/s/0", 3600.0, wall_offset_s=1_000_000.0)
+    change = RecordingChange("k", "c2")
+    bucket.add(change, 100.0)
+    bucket.end_read(1, "", 100.0)
+    assert bucket.next_need(100.0) is Need.WRITE
+    bucket.begin_write(100.0)
+    assert change.wall_s == 1_000_100.0
