Nodes with narrow links hand searches over to aggregators with wide ones

The median leg took 128 ms of an objective of 250, so that a hedge at the 90th percentile left 205 ms after the arrival and came too late: 310 of 440 searches went out partial. Ruled out: processor (5 to 17 ms a search), slow upstreams (the first seconds have none), the allowance of extra legs (5 hedges a search went out). Change: nodes register their link and a search address. Where some links are three times wider than others, the narrow nodes offer each search to a wide node, an aggregator, of their own data centre first. An aggregator accepts, by an interim answer, before it sends a leg, and only at the same version of the routes; what is not accepted in time, declined or lost before is served by the node itself. After acceptance nothing is run twice. The aggregators share 0.7 of the fleet's extra legs on top.

--- a/src/heatherpick/_fleet/relays.py
+++ b/src/heatherpick/_fleet/relays.py
@@ -51,10 +51,6 @@
         """Nodes on the list, this one included; 0 while no list is known."""
         return len(self._members)
 
-    def list_nodes(self):
-        """Return the addresses of all nodes on the list."""
-        return tuple(self._members.values())
-
     def set_member(self, name, address):
         """Take in a node of the list, None for one that is gone."""
         if address is None:
--- a/src/heatherpick/_net/callers.py
+++ b/src/heatherpick/_net/callers.py
@@ -31,6 +31,7 @@
     400: b"Bad Request",
     404: b"Not Found",
     408: b"Request Timeout",
+    409: b"Conflict",
     413: b"Content Too Large",
     431: b"Request Header Fields Too Large",
     500: b"Internal Server Error",
@@ -119,6 +120,11 @@
         self.timer = None
         self.head = None
 
+    def accept(self):
+        """Tell the sender that the request has been begun, before its answer."""
+        if not self.is_answered:
+            self.connection.write(b"HTTP/1.1 102 Processing\r\n\r\n")
+
     def answer(self, status, headers, body):
         """Write the one answer of the request."""
         if self.is_answered:
--- a/src/heatherpick/_net/gateway.py
+++ b/src/heatherpick/_net/gateway.py
@@ -1,6 +1,12 @@
 """Carries out what the reducer of requests decides."""
 
 from heatherpick._net.callers import CallerConnection
+from heatherpick._net.searches import (
+    AGE_HEADER,
+    DECLINED,
+    VERSION_HEADER,
+    SearchClient,
+)
 from heatherpick._net.sockets import Listener
 from heatherpick._net.upstreams import ConnectionPool, Exchange
 from heatherpick._serving import effects as fx
@@ -48,11 +54,23 @@
         self._connections = set()
         self._listener = None
         self._reserved = frozenset(
-            {dialect.patience, dialect.target, dialect.load, dialect.signature}
+            {
+                dialect.patience,
+                dialect.target,
+                dialect.load,
+                dialect.signature,
+                VERSION_HEADER,
+                AGE_HEADER,
+            }
         )
+        self._searches = SearchClient(loop, self.feed, dialect.request_id)
         self._reach = reach
         self._is_stopping = False
         self._carriers = {
+            fx.Accept: self._accept_search,
+            fx.Decline: self._decline_search,
+            fx.HandOver: self._hand_over,
+            fx.TakeBack: self._take_back,
             fx.SendLeg: self._send_leg,
             fx.CancelLeg: self._cancel_leg,
             fx.Forward: self._forward,
@@ -119,10 +137,24 @@
     # Callers
 
     def _accept(self, sock):
-        self._connections.add(CallerConnection(self._loop, sock, self))
-
-    def begin(self, request):
-        """Serve a request that was read whole."""
+        self.adopt(CallerConnection(self._loop, sock, self))
+
+    def adopt(self, connection):
+        """Take note of a new connection, of a caller or of another node."""
+        self._connections.add(connection)
+
+    def begin(self, request, peer_version=None, age_ms=0.0):
+        """Serve a request that was read whole.
+
+        Parameters
+        ----------
+        request : CallerRequest
+            The request.
+        peer_version : int, optional
+            Version of the routes by which another node hands it over.
+        age_ms : float, default=0.0
+            Time that the other node has had it.
+        """
         by_name = request.by_name
         host = by_name.get(b"host", b"").decode("latin-1").lower().partition(":")[0]
         request_id = by_name.get(self._dialect.request_id, b"").decode("latin-1")
@@ -132,6 +164,8 @@
             request.target.decode("latin-1"),
             request_id,
             _read_number(by_name.get(self._dialect.patience)),
+            peer_version,
+            age_ms,
         )
         self.feed(event)
 
@@ -147,6 +181,35 @@
         """Take note that a caller's connection is gone."""
         self._connections.discard(connection)
 
+    # Searches of other nodes, and at other nodes
+
+    def _accept_search(self, effect):
+        effect.exchange.accept()
+
+    def _decline_search(self, effect):
+        self._log.report("search declined", reason=effect.reason)
+        effect.exchange.answer(DECLINED, (), b"")
+
+    def _hand_over(self, effect):
+        query = effect.query
+        request = query.exchange
+        request.query = query
+        age_us = int((self._loop.seconds() - query.arrived) * 1e6)
+        data = b"%s%s: %d\r\n%s: %d\r\n%s: %d\r\n\r\n%s" % (
+            request.head or self._build_head(request),
+            self._dialect.patience,
+            effect.patience_ms,
+            VERSION_HEADER,
+            query.snapshot.version,
+            AGE_HEADER,
+            age_us,
+            request.body,
+        )
+        self._searches.offer(query, effect.address, data)
+
+    def _take_back(self, effect):
+        self._searches.take_back(effect.query)
+
     # Effects
 
     def _send_leg(self, effect):
@@ -229,7 +292,9 @@
 
     def _merge(self, effect):
         dialect = self._dialect
+        request_id = effect.exchange.by_name.get(dialect.request_id, b"")
         headers = [
+            (dialect.request_id, request_id),
             (dialect.part_signatures, b", ".join(effect.signatures)),
             (dialect.n_missing, b"%d" % effect.n_missing),
         ]
--- a/src/heatherpick/_net/node.py
+++ b/src/heatherpick/_net/node.py
@@ -6,11 +6,13 @@
 
 from heatherpick._fleet.copies import SharedCopy, StoreFailure
 from heatherpick._fleet.freshness import Freshness
+from heatherpick._fleet.nodes import NodeEntry
 from heatherpick._fleet.relays import RelayPlan
 from heatherpick._net.dialect import Dialect
 from heatherpick._net.documents import DocumentKeeper
 from heatherpick._net.gateway import Gateway
 from heatherpick._net.probes import PageServer
+from heatherpick._net.searches import SearchServer
 from heatherpick._serving.directory import Directory
 from heatherpick._serving.reach import Reach
 from heatherpick._serving.requests import RequestReducer
@@ -158,17 +160,20 @@
         self._plan = plan
         self._reducer = reducer
         self._report = report
+        self._nodes = {}
 
     def replace(self, objects):
         self.change(objects)
 
     def change(self, objects):
         for each in objects:
-            address = None
-            if not each.is_deleted and isinstance(each.value, dict):
-                address = each.value.get("address")
-            self._plan.set_member(each.name, address)
-        self._reducer.know_nodes(self._plan.list_nodes())
+            node = None if each.is_deleted else NodeEntry.from_value(each.value)
+            if node is None:
+                self._nodes.pop(each.name, None)
+            else:
+                self._nodes[each.name] = node
+            self._plan.set_member(each.name, None if node is None else node.address)
+        self._reducer.know_nodes(tuple(self._nodes.values()))
         self._report("nodes listed", n_nodes=self._plan.n_nodes)
 
 
@@ -179,8 +184,8 @@
     ----------
     settings : object
         Has ``node``, ``data_centre``, ``callers_address``, ``readiness_address``,
-        ``metrics_address``, ``peers_address``, ``seeds``, ``extra_share``,
-        ``extra_slack``, ``news_s`` and ``stop_grace_s``.
+        ``metrics_address``, ``peers_address``, ``search_address``, ``link_mbps``,
+        ``seeds``, ``extra_share``, ``extra_slack``, ``news_s`` and ``stop_grace_s``.
     loop : EventLoop
         Runs everything.
     store : SharedStore
@@ -283,6 +288,7 @@
         if settings.metrics_address is not None:
             pages = {b"/metrics": self._show_metrics}
             PageServer(self._loop, pages).listen(*settings.metrics_address)
+        SearchServer(self._loop, self._gateway).listen(*settings.search_address)
         self._keeper.start(*settings.peers_address)
         self._register()
         self._loop.take_signal(signal.SIGTERM, self.begin_stop)
@@ -291,12 +297,16 @@
         self._log.report("started", data_centre=settings.data_centre)
 
     def _register(self):
-        """Write down where this node is, for its peers."""
+        """Write down where and what this node is, for its peers."""
+        settings = self._settings
+        entry = NodeEntry(
+            _format(settings.peers_address),
+            _format(settings.search_address),
+            settings.data_centre,
+            settings.link_mbps,
+        )
         self._store.put_object(
-            self._kinds.nodes,
-            self._settings.node,
-            {"address": _format(self._settings.peers_address)},
-            self._take_registration,
+            self._kinds.nodes, settings.node, entry.to_value(), self._take_registration
         )
 
     def _take_registration(self, failure):
--- a/src/heatherpick/_net/upstreams.py
+++ b/src/heatherpick/_net/upstreams.py
@@ -23,6 +23,8 @@
 #: it. A full accept queue drops the first packet, and the kernel repeats it after a
 #: second only.
 CONNECT_TIMEOUT_S = 0.15
+#: Status of an interim answer that says that the request has been begun.
+PROCESSING = 102
 
 
 class Answer:
@@ -72,9 +74,13 @@
     left : callable, optional
         ``left(exchange)`` is called when an exchange that had to wait for its
         connection is being sent.
+    accepted : callable, optional
+        ``accepted(exchange)`` is called when an interim answer says that the peer has
+        begun the request.
     """
 
     __slots__ = (
+        "accepted",
         "connection",
         "context",
         "data",
@@ -97,6 +103,7 @@
         expects_body=True,
         context=None,
         left=None,
+        accepted=None,
     ):
         self.data = data
         self.done = done
@@ -106,6 +113,7 @@
         self.expects_body = expects_body
         self.context = context
         self.left = left
+        self.accepted = accepted
         self.connection = None
         self.pool = None
 
@@ -258,7 +266,11 @@
             b"content-length" in by_name or b"transfer-encoding" in by_name
         )
         exchange = self._exchange
-        if exchange is not None and not exchange.expects_body and self._status >= 200:
+        if exchange is None:
+            return
+        if self._status == PROCESSING and exchange.accepted is not None:
+            exchange.accepted(exchange)
+        elif not exchange.expects_body and self._status >= 200:
             self._finish()
             self._discard()
 
--- a/src/heatherpick/_serving/effects.py
+++ b/src/heatherpick/_serving/effects.py
@@ -2,7 +2,19 @@
 
 from dataclasses import dataclass
 
-__all__ = ["CancelLeg", "Forward", "Merge", "Refuse", "Report", "SendLeg", "Wake"]
+__all__ = [
+    "Accept",
+    "CancelLeg",
+    "Decline",
+    "Forward",
+    "HandOver",
+    "Merge",
+    "Refuse",
+    "Report",
+    "SendLeg",
+    "TakeBack",
+    "Wake",
+]
 
 
 @dataclass(frozen=True, slots=True)
@@ -28,6 +40,55 @@
     leg: object
 
 
+@dataclass(frozen=True, slots=True)
+class HandOver:
+    """Offer a search to another node.
+
+    Parameters
+    ----------
+    query : Query
+        The search.
+    address : str
+        The other node's search address.
+    patience_ms : int
+        Time that is left.
+    """
+
+    query: object
+    address: str
+    patience_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class TakeBack:
+    """Close the connection on which a search was handed over, which cancels it."""
+
+    query: object
+
+
+@dataclass(frozen=True, slots=True)
+class Accept:
+    """Tell the node that offered a search that its legs are being sent."""
+
+    exchange: object
+
+
+@dataclass(frozen=True, slots=True)
+class Decline:
+    """Tell the node that offered a search to serve it itself.
+
+    Parameters
+    ----------
+    exchange : object
+        The exchange with that node.
+    reason : str
+        One line for its log.
+    """
+
+    exchange: object
+    reason: str
+
+
 @dataclass(frozen=True, slots=True)
 class Forward:
     """Hand an upstream's answer on to the caller, unchanged."""
--- a/src/heatherpick/_serving/events.py
+++ b/src/heatherpick/_serving/events.py
@@ -5,6 +5,9 @@
 __all__ = [
     "AnswerWritten",
     "CallerLeft",
+    "HandOverAccepted",
+    "HandOverAnswered",
+    "HandOverFailed",
     "LegAnswered",
     "LegFailed",
     "LegHeld",
@@ -28,6 +31,11 @@
         The caller's id of this attempt; "" if there is none.
     patience_ms : float or None
         How long the caller will wait; None if it does not say.
+    peer_version : int or None, default=None
+        Version of the routes by which another node chose to hand the search over; None
+        for a request of a caller's own.
+    age_ms : float, default=0.0
+        Time that the other node has already had it.
     """
 
     exchange: object
@@ -35,6 +43,42 @@
     path: str
     request_id: str
     patience_ms: float | None
+    peer_version: int | None = None
+    age_ms: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class HandOverAccepted:
+    """The node that was offered a search sends its legs."""
+
+    query: object
+
+
+@dataclass(frozen=True, slots=True)
+class HandOverAnswered:
+    """The node that was offered a search answered whole.
+
+    Parameters
+    ----------
+    query : Query
+        The search.
+    answer : object
+        Status, headers and body, to be handed on unchanged.
+    is_declined : bool
+        Whether that node has not begun the search and will not.
+    """
+
+    query: object
+    answer: object
+    is_declined: bool
+
+
+@dataclass(frozen=True, slots=True)
+class HandOverFailed:
+    """The node that was offered a search gave no whole answer; ``reason`` says why."""
+
+    query: object
+    reason: str
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/heatherpick/_serving/extras.py
+++ b/src/heatherpick/_serving/extras.py
@@ -30,14 +30,14 @@
     Examples
     --------
     >>> extras = ExtraLegs(share=0.2, slack=100.0)
-    >>> extras.divide_by(10)
+    >>> extras.take_part(1 / 10)
     >>> extras.earn("parts", now=0.0)
     >>> [extras.spend("parts", now=0.0) for _ in range(3)]
     [True, True, True]
     """
 
     def __init__(self, share, slack):
-        self._n_nodes = N_NODES_UNKNOWN
+        self._part = 1.0 / N_NODES_UNKNOWN
         self._buckets = {}
         self.allow(share, slack)
 
@@ -47,13 +47,13 @@
         self._slack = slack
         self._divide()
 
-    def divide_by(self, n_nodes):
-        """Divide what the fleet may send by this number of nodes."""
-        self._n_nodes = n_nodes or N_NODES_UNKNOWN
+    def take_part(self, part):
+        """Use this part, 0 to 1, of what the fleet may send on top."""
+        self._part = part
         self._divide()
 
     def _divide(self):
-        part = self._slack / self._n_nodes
+        part = self._slack * self._part
         self._most = max(1.0, SAVED_PART * part)
         self._per_s = FLOWING_PART * part / WINDOW_S
 
--- a/src/heatherpick/_serving/queries.py
+++ b/src/heatherpick/_serving/queries.py
@@ -126,13 +126,22 @@
         Legs beyond the first of a shard, by reason.
     has_ended : bool
         Whether the caller has its answer or has left.
+    is_for_peer : bool
+        Whether another node handed the search over to this one.
+    aggregator : str or None
+        Search address of the node that was offered the search.
+    accept_by : float or None
+        When an offer is taken back, in seconds; None once it was accepted.
     """
 
     __slots__ = (
+        "accept_by",
+        "aggregator",
         "arrived",
         "ends",
         "exchange",
         "has_ended",
+        "is_for_peer",
         "n_done",
         "n_hedges",
         "n_missing",
@@ -158,6 +167,14 @@
         self.n_hedges = 0
         self.n_retries = 0
         self.has_ended = False
+        self.is_for_peer = False
+        self.aggregator = None
+        self.accept_by = None
+
+    @property
+    def is_accepted(self):
+        """Whether an aggregator runs the search."""
+        return self.aggregator is not None and self.accept_by is None
 
     @property
     def n_open(self):
@@ -170,11 +187,21 @@
         self.n_missing += 1
 
     @property
-    def coverage(self):
-        """Share of the shards that have answered."""
-        return self.n_done / len(self.shards)
+    def is_enough(self):
+        """Whether the shards that have answered make a partial answer."""
+        return self._reaches(self.n_done)
+
+    @property
+    def may_succeed(self):
+        """Whether the shards that have answered and those that still may are enough."""
+        return self._reaches(self.n_done + self.n_open)
+
+    def _reaches(self, n_shards):
+        return bool(n_shards) and (
+            n_shards / len(self.shards) >= self.route.least_coverage
+        )
 
     @property
     def may_have_run(self):
         """Whether any upstream may have run the request."""
-        return any(shard.ran_on for shard in self.shards)
+        return self.is_accepted or any(shard.ran_on for shard in self.shards)
--- a/src/heatherpick/_serving/requests.py
+++ b/src/heatherpick/_serving/requests.py
@@ -2,8 +2,10 @@
 
 from heatherpick._serving import effects as fx
 from heatherpick._serving import events as ev
+from heatherpick._serving.aggregators import Aggregators
 from heatherpick._serving.cold import ColdGate
 from heatherpick._serving.extras import ExtraLegs
+from heatherpick._serving.handovers import HandOvers
 from heatherpick._serving.merging import merge_parts
 from heatherpick._serving.pace import RoutePace
 from heatherpick._serving.queries import Leg, Query
@@ -52,6 +54,9 @@
 PROMISES = frozenset({408, 421, 429, 503})
 #: When a caller may come back to a node that does not know the routes yet, in seconds.
 UNKNOWN_RETRY_S = 0.25
+#: Searches of other nodes that an aggregator runs at once. More would share its link
+#: until they are no quicker than on a narrow one.
+MAX_FOR_PEERS = 8
 #: Shards without an answer that a line of the log describes.
 MAX_MISSING_LOGGED = 5
 #: Characters of a path that a line of the log shows.
@@ -85,6 +90,11 @@
         self._extras = ExtraLegs(extra_share, extra_slack)
         self._cold = ColdGate(own)
         self._reach = reach
+        self._aggregators = Aggregators(own)
+        self._hand_overs = HandOvers(
+            self._aggregators, self._serve, self._end_elsewhere, self._refuse
+        )
+        self._n_for_peers = 0
         self._answer_cost_ms = 0.0
         self._paces = {}
         self._splits = {}
@@ -97,6 +107,9 @@
             ev.CallerLeft: self._leave,
             ev.QueryDue: self._advance,
             ev.AnswerWritten: self._learn_answer_cost,
+            ev.HandOverAccepted: self._hand_overs.take_acceptance,
+            ev.HandOverAnswered: self._hand_overs.take_answer,
+            ev.HandOverFailed: self._hand_overs.take_failure,
         }
 
     @property
@@ -108,10 +121,13 @@
         """Bound the legs beyond the first from now on."""
         self._extras.allow(extra_share, extra_slack)
 
-    def know_nodes(self, addresses):
-        """Take this node's part of what the fleet may send, among these nodes."""
-        self._extras.divide_by(len(addresses))
-        self._cold.set_nodes(addresses)
+    def know_nodes(self, nodes):
+        """Take this node's part of what the fleet does, among these `NodeEntry`."""
+        self._aggregators.set_nodes(nodes)
+        if nodes:
+            part = self._aggregators.compute_extras_part(len(nodes))
+            self._extras.take_part(part)
+        self._cold.set_nodes([node.address for node in nodes])
 
     def adopt(self, snapshot):
         """Serve new requests by a newer snapshot.
@@ -156,6 +172,9 @@
     # Arrival
 
     def _arrive(self, event, now, effects):
+        is_for_peer = event.peer_version is not None
+        if is_for_peer and not self._may_aggregate(event, effects):
+            return
         route = self._find_route(event, effects)
         if route is None:
             return
@@ -168,9 +187,31 @@
             route,
             self._snapshot,
             services,
-            now,
+            now - event.age_ms / 1000.0,
         )
-        self._set_times(query, event.patience_ms)
+        self._set_times(query, event)
+        if is_for_peer:
+            query.is_for_peer = True
+            self._n_for_peers += 1
+            effects.append(fx.Accept(event.exchange))
+        elif route.is_gather and self._hand_overs.offer(query, now, effects):
+            return
+        self._serve(query, now, effects)
+
+    def _may_aggregate(self, event, effects):
+        """Return whether to run a search for another node; decline it otherwise."""
+        version = None if self._snapshot is None else self._snapshot.version
+        if version != event.peer_version:
+            reason = f"routes of version {version}, not {event.peer_version}"
+        elif self._n_for_peers >= MAX_FOR_PEERS:
+            reason = f"{self._n_for_peers} searches of other nodes are running"
+        else:
+            return True
+        effects.append(fx.Decline(event.exchange, reason))
+        return False
+
+    def _serve(self, query, now, effects):
+        """Send the first legs of a request."""
         for shard in query.shards:
             self._extras.earn(shard.service, now)
             if not self._send(query, shard, now, effects):
@@ -212,11 +253,11 @@
             self._splits[route.name] = split
         return split[1].choose()
 
-    def _set_times(self, query, patience_ms):
+    def _set_times(self, query, event):
         route = query.route
         limit_ms = route.timeout_ms
-        if patience_ms is not None:
-            limit_ms = min(limit_ms, patience_ms)
+        if event.patience_ms is not None:
+            limit_ms = min(limit_ms, event.age_ms + event.patience_ms)
         query.ends = query.arrived + max(0.0, limit_ms - END_MARGIN_MS) / 1000.0
         return_ms = min(MAX_RETURN_MS, RETURN_SHARE * route.objective_ms)
         if route.is_gather:
@@ -420,6 +461,9 @@
         query = event.query
         if query.has_ended:
             return
+        if query.aggregator is not None:
+            self._hand_overs.advance(query, now, effects)
+            return
         if now >= query.ends:
             self._give_up(query, now, effects)
             return
@@ -501,15 +545,12 @@
             if not n_open:
                 self._give_up(query, now, effects)
             return
-        n_shards = len(query.shards)
-        least = query.route.least_coverage
-        n_possible = query.n_done + n_open
-        if not n_possible or n_possible / n_shards < least:
+        if not query.may_succeed:
             self._give_up(query, now, effects)
             return
         if n_open and now < query.settles:
             return
-        if query.n_done and query.n_done / n_shards >= least:
+        if query.is_enough:
             self._answer(query, now, effects)
 
     def _answer(self, query, now, effects):
@@ -527,31 +568,32 @@
         )
 
     def _give_up(self, query, now, effects):
-        if (
-            query.route.is_gather
-            and query.n_done
-            and query.coverage >= query.route.least_coverage
-        ):
+        if query.route.is_gather and query.is_enough:
             self._answer(query, now, effects)
             return
-        self._end(query, now, effects)
         failure = None if query.route.is_gather else query.shards[0].failure
         if failure is not None:
+            self._end(query, now, effects)
             effects.append(fx.Forward(query.exchange, failure))
             effects.append(self._report(query, failure.status, "upstream failed", now))
             return
-        self._reach.note_refused()
         status, reason = self._choose_refusal(query, now)
-        retry_after_s = min(
-            MAX_RETRY_AFTER_S,
-            max(
-                LEAST_RETRY_AFTER_S,
-                RETRY_AFTER_SHARE * query.route.objective_ms / 1000.0,
-            ),
-        )
+        self._refuse(query, status, reason, now, effects)
+
+    def _refuse(self, query, status, reason, now, effects):
+        self._end(query, now, effects)
+        self._reach.note_refused()
+        retry_after_s = _compute_retry_after(query.route)
         effects.append(fx.Refuse(query.exchange, status, retry_after_s, reason))
         effects.append(self._report(query, status, reason, now))
 
+    def _end_elsewhere(self, query, status, outcome, now, effects):
+        """End a search that an aggregator has answered."""
+        self._end(query, now, effects)
+        if status >= 500:
+            self._reach.note_refused()
+        effects.append(self._report(query, status, outcome, now))
+
     def _choose_refusal(self, query, now):
         if not query.may_have_run:
             return 503, "no upstream could take the request"
@@ -563,6 +605,8 @@
         query = event.query
         if query.has_ended:
             return
+        if query.aggregator is not None:
+            effects.append(fx.TakeBack(query))
         if query.route.repeatable:
             self._end(query, now, effects)
         else:
@@ -572,6 +616,7 @@
 
     def _end(self, query, now, effects):
         query.has_ended = True
+        self._n_for_peers -= query.is_for_peer
         for shard in query.shards:
             for leg in shard.legs:
                 leg.upstream.n_open -= 1
@@ -593,6 +638,11 @@
             "hedges": query.n_hedges,
             "retries": query.n_retries,
         }
+        if query.is_for_peer:
+            fields["for_peer"] = True
+        if query.aggregator is not None:
+            fields["aggregator"] = query.aggregator
+            return fx.Report("request ended", fields)
         missing = [shard for shard in query.shards if shard.body is None]
         if missing:
             fields["missing"] = [
@@ -614,3 +664,9 @@
         if pace is None:
             pace = self._paces[route.name] = RoutePace(route.objective_ms)
         return pace
+
+
+def _compute_retry_after(route):
+    """Return when a refused caller may come back, in seconds."""
+    wanted_s = RETRY_AFTER_SHARE * route.objective_ms / 1000.0
+    return min(MAX_RETRY_AFTER_S, max(LEAST_RETRY_AFTER_S, wanted_s))
--- a/src/heatherpick/platform/settings.py
+++ b/src/heatherpick/platform/settings.py
@@ -29,6 +29,10 @@
         Where callers, readiness checks and scrapers of metrics are served.
     store_address, peers_address : tuple of (str, int)
         Where the store is, and where this node serves other nodes.
+    search_address : tuple of (str, int)
+        Where this node takes searches of other nodes.
+    link_mbps : float
+        Bandwidth of the VM's own link.
     seeds : tuple of str
         Addresses, ``ip:port``, of some other nodes; they may be stale.
     extra_share, extra_slack : float
@@ -48,6 +52,8 @@
     metrics_address: tuple
     store_address: tuple
     peers_address: tuple
+    search_address: tuple
+    link_mbps: float
     seeds: tuple
     extra_share: float
     extra_slack: float
@@ -91,6 +97,8 @@
             metrics_address=(reader.read("ip", str), METRICS_PORT),
             store_address=reader.read_address("platform.address"),
             peers_address=reader.read_address("listen.control"),
+            search_address=reader.read_first_port("internal-ports"),
+            link_mbps=float(reader.read("limits.link-mbps", (int, float))),
             seeds=tuple(each for each in fields.get("seeds", ()) if ":" in str(each)),
             extra_share=float(reader.read("bounds.retry-budget-ratio", (int, float))),
             extra_slack=float(reader.read("bounds.retry-slack", (int, float))),
@@ -128,5 +136,14 @@
         self._note(name, f"is {text!r}; give ip:port")
         return "", 0
 
+    def read_first_port(self, name):
+        ports = self.read(name, list)
+        if not ports:
+            return "", 0
+        if isinstance(ports[0], int):
+            return str(self._fields.get("ip")), ports[0]
+        self._note(name, f"is {ports!r}; give the first and the last free port")
+        return "", 0
+
     def _note(self, name, message):
         self.findings.append(Finding(self._path, 0, name, message))
--- a/tests/direct/site.py
+++ b/tests/direct/site.py
@@ -325,7 +325,7 @@
         self.store.put("config", "main", document)
 
     def start_node(self, seeds=(), **fields):
-        ports = [find_port() for _ in range(4)]
+        ports = [find_port() for _ in range(5)]
         name = f"n{len(self.nodes)}"
         store_port = self.store.listen_to(name)
         settings = PlatformSettings(
@@ -336,6 +336,8 @@
             metrics_address=(HOST, ports[2]),
             store_address=(HOST, store_port),
             peers_address=(HOST, ports[3]),
+            search_address=(HOST, ports[4]),
+            link_mbps=100.0,
             seeds=tuple(seeds),
             extra_share=0.2,
             extra_slack=100.0,
@@ -428,8 +430,11 @@
     }
 
 
-def make_site(n_nodes=1, **limits):
-    """Return a site of three shards with two upstreams each, and a desk for orders."""
+def make_site(n_nodes=1, links_mbps=None, **limits):
+    """Return a site of three shards with two upstreams each, and a desk for orders.
+
+    ``links_mbps`` has the width of each node's link, if they are not all equal.
+    """
     # Nodes of a test start one after the other; there is nothing to wait for.
     documents.SETTLE_S = 0.05
     site = Site()
@@ -439,7 +444,7 @@
     for copy in "ab":
         site.add_upstream(f"d{copy}", "desk", zone=copy)
     site.publish([make_gather(["p0", "p1", "p2"]), make_order()], **limits)
-    for _ in range(n_nodes):
-        site.start_node()
+    for link_mbps in links_mbps or [100.0] * n_nodes:
+        site.start_node(link_mbps=link_mbps)
     site.run_until(lambda: all(node.is_ready for node in site.nodes))
     return site
--- a/tests/direct/test_fleet.py
+++ b/tests/direct/test_fleet.py
@@ -212,7 +212,7 @@
     share, slack, window_s, per_s = 0.2, 10.0 * n_nodes, 10.0, 3.0
     nodes = [ExtraLegs(share, slack) for _ in range(n_nodes)]
     for node in nodes:
-        node.divide_by(n_nodes)
+        node.take_part(1 / n_nodes)
     n_requests = n_spent = 0
     steps = int(window_s * per_s)
     for step in range(steps):
@@ -220,7 +220,7 @@
         if restarts and step == steps // 2:
             nodes = [ExtraLegs(share, slack) for _ in range(n_nodes)]
             for node in nodes:
-                node.divide_by(n_nodes)
+                node.take_part(1 / n_nodes)
         for node in nodes:
             n_requests += 1
             node.earn("service", now)
--- a/tests/direct/test_requests.py
+++ b/tests/direct/test_requests.py
@@ -6,6 +6,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from heatherpick._fleet.nodes import NodeEntry
 from heatherpick._serving import effects as fx
 from heatherpick._serving import events as ev
 from heatherpick._serving.cold import ColdGate
@@ -68,7 +69,7 @@
         self.reducer = RequestReducer(
             self.directory, 0.2, slack, "n0", self.reach, random.Random(seed)
         )
-        self.reducer.know_nodes(["n0", "n1", "n2", "n3"])
+        self.reducer.know_nodes([NodeEntry(f"n{k}") for k in range(4)])
         by_prefix = {route.prefix: route for route in routes}
         names = {name for route in routes for name in route.services}
         services = {name: Service(name, 60, 0.0) for name in names}
@@ -656,7 +657,7 @@
     )
     player.directory.get("cold").cold_until = player.now + 60
     player.reducer.snapshot.services["desk"] = Service("desk", 60, 0.5)
-    player.reducer.know_nodes(["n7"])
+    player.reducer.know_nodes([NodeEntry("n7")])
     player.ask("/look/x")
     player.pass_time(25)
     assert (player.end.status, player.end.retry_after_s > 0) == (503, True)
--- a/tests/direct/test_wire.py
+++ b/tests/direct/test_wire.py
@@ -86,6 +86,8 @@
         "evacuate-ms": 5000,
     },
     "platform": {"address": "10.200.1.7:8102"},
+    "internal-ports": [7380, 7395],
+    "limits": {"link-mbps": 350.0},
 }
 
 
@@ -164,6 +166,8 @@
     assert settings.extra_slack == 104.0
     assert settings.news_s == 3.0
     assert settings.seeds[1] == "10.2.0.21:8106"
+    assert settings.search_address == ("10.1.0.9", 7380)
+    assert settings.link_mbps == 350.0
 
 
 def test_all_faults_of_the_settings_are_reported_together():
