Ports handed to processes lie below those of connections

Cause: a process test ended in an error at its set-up, "127.0.0.1:46081 already in use": take_port let the kernel choose, and a connection of another process took the port before the relay listened. tests/direct had met this before and chose ports below the kernel's range; the two now share that one function.

--- a/demo/processes.py
+++ b/demo/processes.py
@@ -1,5 +1,6 @@
 """Starts the processes of a demonstration and stops them again."""
 
+import itertools
 import json
 import os
 import signal
@@ -24,11 +25,25 @@
     """Raised when a process does not come up; the message holds its last words."""
 
 
-def take_port():
-    """Return a TCP port on loopback that is free at the moment."""
-    with socket.socket() as probe:
-        probe.bind((_HOST, 0))
-        return probe.getsockname()[1]
+#: Ports below those that the kernel gives to connections, one of which could otherwise
+#: take a port between the look at it and its use.
+_PORTS = itertools.cycle(range(20_000, 30_000))
+for _ in range(os.getpid() * 37 % 10_000):
+    next(_PORTS)
+
+
+def take_port(host=_HOST):
+    """Return a TCP port that is free at the moment and stays so until it is used.
+
+    No two calls of a process return the same one, for thousands of calls.
+    """
+    for port in _PORTS:
+        with socket.socket() as probe:
+            try:
+                probe.bind((host, port))
+            except OSError:
+                continue
+            return port
 
 
 def fetch_json(
--- a/tests/direct/site.py
+++ b/tests/direct/site.py
@@ -4,14 +4,13 @@
 with the faults that tests ask for.
 """
 
-import itertools
-import os
 import socket
 import time
 from dataclasses import replace
 
 import orjson
 
+from demo.processes import take_port
 from heatherpick._net import documents
 from heatherpick._net.callers import CallerRequest
 from heatherpick._net.loop import EventLoop
@@ -325,7 +324,7 @@
         self.store.put("config", "main", document)
 
     def start_node(self, seeds=(), **fields):
-        ports = [find_port() for _ in range(5)]
+        ports = [take_port() for _ in range(5)]
         name = f"n{len(self.nodes)}"
         store_port = self.store.listen_to(name)
         settings = PlatformSettings(
@@ -381,23 +380,6 @@
             self.loop.run_once(0.01)
 
 
-#: Ports below those that the kernel gives to connections, one of which could otherwise
-#: take a port between the look at it and its use.
-PORTS = itertools.cycle(range(20_000, 30_000))
-for _ in range(os.getpid() * 37 % 9_000):
-    next(PORTS)
-
-
-def find_port():
-    for port in PORTS:
-        with socket.socket() as sock:
-            try:
-                sock.bind((HOST, port))
-            except OSError:
-                continue
-            return port
-
-
 def make_gather(services, **fields):
     return {
         "name": "find",
