A soak of real processes under random faults; logs explain searches that were handed over

python -m tests.soak plays seeds: five nodes as processes, the store and ten upstreams of the tests around them, loopback proxies that delay, silence and reset, signals that pause, kill, end and reload, a store that goes down, turns nodes away or forgets, versions in quick succession. Callers check each answer against records that follow from shard and request.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 export PYTHONPATH := src:.
 export PYTHONHASHSEED := 0
 
-.PHONY: install demo test lint format bench binary clean
+.PHONY: install demo test soak lint format bench binary clean
 
 install: $(VENV)/.installed
 
@@ -21,6 +21,10 @@
 test: install
 	$(BIN)/python -m pytest
 
+# Plays fresh random seeds; SEEDS and SECONDS say how many and for how long.
+soak: install
+	$(BIN)/python -m tests.soak --n_seeds $(or $(SEEDS),50) --seconds $(or $(SECONDS),10)
+
 lint: install
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
--- a/src/heatherpick/_commands/explain.py
+++ b/src/heatherpick/_commands/explain.py
@@ -13,7 +13,17 @@
 CONTEXT_S = 10.0
 #: Messages about a request itself, and about what a node believes.
 REQUEST_MESSAGES = frozenset({"request ended", "request refused"})
-BELIEF_FIELDS = ("version", "kind", "reason", "state", "revision", "names", "relay")
+BELIEF_FIELDS = (
+    "version",
+    "kind",
+    "reason",
+    "state",
+    "revision",
+    "names",
+    "relay",
+    "aggregator",
+    "accepted",
+)
 
 
 class ExplainCommand(Command):
@@ -89,7 +99,14 @@
         f"  outcome: {line.get('outcome')}, status {line.get('status')}",
         f"  routes of version {line.get('version')}",
     ]
-    if "route" in line:
+    if "aggregator" in line:
+        told.append(
+            f"  route {line.get('route')}: run by the node that takes searches at "
+            f"{line['aggregator']}, answered after {line.get('ms')} ms"
+        )
+    elif "route" in line:
+        if line.get("for_peer"):
+            told.append("  run for another node, which has the caller")
         told += [
             f"  route {line['route']}: {line.get('answered')} of {line.get('shards')} "
             f"shards after {line.get('ms')} ms",
--- a/tests/direct/test_explain.py
+++ b/tests/direct/test_explain.py
@@ -79,6 +79,23 @@
     assert "routes of version 1" in printed.out
 
 
+def test_handed_over_search_is_explained_by_both_its_nodes(monkeypatch, capsys):
+    site = make_site(links_mbps=[100.0, 10.0])
+    site.run_until(
+        lambda: site.reports[1].find("nodes listed")[-1]["n_nodes"] == 2, wait_s=10.0
+    )
+    for upstream_id in ("p0a", "p0b"):
+        site.upstreams[upstream_id].play = lambda request: None
+    caller = site.call(site.nodes[1])
+    caller.ask("/find/x", request_id="handed-1")
+    assert caller.read_answer()[0] == 200
+    _, printed = explain(monkeypatch, capsys, "handed-1", collect(site))
+    own, *_ = site.nodes[0].settings.search_address
+    assert "run for another node, which has the caller" in printed.out
+    assert f"run by the node that takes searches at {own}" in printed.out
+    assert "p0b: silent for" in printed.out
+
+
 def test_request_that_no_log_tells_of_is_an_error_that_says_what_to_do(
     monkeypatch, capsys
 ):
--- /dev/null
+++ b/tests/soak/world.py
@@ -0,0 +1,288 @@
+"""A site for the soak: nodes as processes, everything around them on one loop."""
+
+import hashlib
+import os
+import random
+import signal
+import subprocess
+import sys
+import time
+
+from demo.processes import take_port
+from heatherpick._net.loop import EventLoop
+from tests.direct.site import (
+    HOST,
+    Reports,
+    StoreStandIn,
+    UpstreamStandIn,
+    make_gather,
+    make_order,
+)
+from tests.soak.proxy import Proxy
+
+SHARDS = ("p0", "p1", "p2", "p3")
+COPIES = "ab"
+N_RECORDS = 3
+#: Width of the nodes' links; two of them are aggregators.
+LINKS_MBPS = (100.0, 100.0, 10.0, 10.0, 10.0)
+GRACE_S = 6.0
+#: Longest time that a node may take to start.
+START_S = 15.0
+SETTINGS = """\
+node-name = "{name}"
+ip = "{ip}"
+zone = "{zone}"
+region = "r"
+internal-ports = [{search_port}, {search_port}]
+seeds = []
+[listen]
+front = "{ip}:{front_port}"
+ready = "{ip}:{ready_port}"
+control = "{ip}:{peer_port}"
+[limits]
+link-mbps = {link_mbps}
+[bounds]
+retry-budget-ratio = 0.2
+retry-slack = 200
+config-apply-ms = 3000
+drain-ms = 3000
+evacuate-ms = 5000
+grace-s = {grace_s}
+[platform]
+address = "{store}"
+"""
+
+
+def make_records(service, request_id):
+    """Return the records of one shard for one request, known to callers too."""
+    digest = hashlib.sha256(f"{service} {request_id}".encode()).digest()
+    return digest[:16], digest[16:]
+
+
+class SoakStore(StoreStandIn):
+    """Leads searches between nodes through proxies."""
+
+    def __init__(self, loop, proxies):
+        super().__init__(loop)
+        self._proxies = proxies
+
+    def put(self, kind, name, spec):
+        if isinstance(spec, dict) and "search_address" in spec:
+            host, port = self._proxies[spec["search_address"]].address
+            spec = {**spec, "search_address": f"{host}:{port}"}
+        super().put(kind, name, spec)
+
+
+class SoakUpstream(UpstreamStandIn):
+    """Counts what it runs; records follow from shard and request."""
+
+    def __init__(self, world, upstream_id, service, zone):
+        self.world = world
+        self.proxy = None
+        self.runs = []
+        self.is_silent = False
+        super().__init__(world, upstream_id, service, zone)
+
+    def announce(self, state="ready", **fields):
+        if self.proxy is None:
+            self.proxy = Proxy(self.site.loop, (HOST, self.port))
+        host, port = self.proxy.address
+        super().announce(state, address=f"{host}:{port}", **fields)
+
+    def begin(self, request):
+        if request.by_name.get(b"target-instance") == self.id.encode():
+            request_id = request.by_name[b"request-id"].decode()
+            self.runs.append((self.world.loop.seconds(), request_id))
+        super().begin(request)
+
+    def serve(self, request):
+        if self.is_silent:
+            return
+        request_id = request.by_name[b"request-id"].decode()
+        headers = [
+            (b"Request-Id", request_id.encode()),
+            (b"Response-Seal", f"{self.id}.{request_id}".encode()),
+            (b"Server-Load", b"1,0,4"),
+        ]
+        request.answer(200, headers, b"".join(make_records(self.service, request_id)))
+
+
+class Node:
+    """One process of the product."""
+
+    def __init__(self, world, index):
+        self.world = world
+        self.name = f"n{index}"
+        self.zone = COPIES[index % 2]
+        # The port of the metrics is the same on all VMs, so each has an address; soaks
+        # beside each other have different ones.
+        pid = os.getpid()
+        self.ip = f"127.{1 + pid // 250 % 250}.{pid % 250}.{20 + index}"
+        self.link_mbps = LINKS_MBPS[index]
+        self.ports = [take_port(self.ip) for _ in range(4)]
+        self.process = None
+        self.boot = 0
+        #: Times of a pause's beginning and end, oldest first; the last may be open.
+        self.pauses = []
+        self.store_proxy = None
+        self.search_proxy = None
+
+    @property
+    def callers_address(self):
+        return self.ip, self.ports[0]
+
+    @property
+    def is_running(self):
+        return self.process is not None and self.process.poll() is None
+
+    def start(self):
+        """Start the process, as the platform does after each end."""
+        if self.is_running:
+            return
+        self.boot += 1
+        path = self.world.directory / f"{self.name}.toml"
+        host, port = self.store_proxy.address
+        front, ready, peer, search = self.ports
+        path.write_text(
+            SETTINGS.format(
+                name=self.name,
+                ip=self.ip,
+                zone=self.zone,
+                search_port=search,
+                front_port=front,
+                ready_port=ready,
+                peer_port=peer,
+                link_mbps=self.link_mbps,
+                grace_s=GRACE_S,
+                store=f"{host}:{port}",
+            )
+        )
+        log = open(self.world.directory / f"{self.name}-{self.boot}.log", "wb")
+        with log:
+            self.process = subprocess.Popen(
+                [sys.executable, "-m", "heatherpick.platform"],
+                stdout=log,
+                stderr=subprocess.STDOUT,
+                env={
+                    **os.environ,
+                    "HEATHERPICK_SETTINGS": str(path),
+                    "PYTHONPATH": "src",
+                },
+            )
+
+    def send_signal(self, number):
+        """Send a signal to the process, by its id, if it runs."""
+        if self.is_running:
+            self.process.send_signal(number)
+
+    def pause(self):
+        """Let the process stand still."""
+        self.send_signal(signal.SIGSTOP)
+        self.pauses.append([self.world.loop.seconds(), None])
+
+    def resume(self):
+        """Let the process go on."""
+        self.send_signal(signal.SIGCONT)
+        for each in self.pauses:
+            if each[1] is None:
+                each[1] = self.world.loop.seconds()
+
+    def was_paused(self, since, until):
+        """Return whether the process stood still at some time between two."""
+        return any(
+            began <= until and (ended is None or ended >= since)
+            for began, ended in self.pauses
+        )
+
+    def end(self):
+        """Kill the process and wait for its end."""
+        if self.process is not None:
+            self.process.kill()
+            self.process.wait()
+
+
+class World:
+    """The whole site; `run_for` makes time pass.
+
+    Parameters
+    ----------
+    directory : pathlib.Path
+        Takes settings and logs of the nodes.
+    seed : int
+        Seed of all random choices.
+    """
+
+    def __init__(self, directory, seed):
+        self.directory = directory
+        self.rng = random.Random(seed)
+        self.faults = Reports()
+        self.loop = EventLoop(self.faults.report)
+        self.nodes = [Node(self, index) for index in range(len(LINKS_MBPS))]
+        proxies = {}
+        for node in self.nodes:
+            node.search_proxy = Proxy(self.loop, (node.ip, node.ports[3]))
+            proxies[f"{node.ip}:{node.ports[3]}"] = node.search_proxy
+        self.store = SoakStore(self.loop, proxies)
+        for node in self.nodes:
+            port = self.store.listen_to(node.name)
+            node.store_proxy = Proxy(self.loop, (HOST, port))
+        self.upstreams = [
+            SoakUpstream(self, f"{service}{copy}", service, copy)
+            for service in (*SHARDS, "desk")
+            for copy in COPIES
+        ]
+        self.version = 0
+        self.paths = []
+
+    def __enter__(self):
+        self.publish()
+        for node in self.nodes:
+            node.start()
+        self._wait_ready()
+        return self
+
+    def __exit__(self, *exception):
+        for node in self.nodes:
+            node.end()
+
+    def publish(self):
+        """Write a version of the routes that has one route more."""
+        self.version += 1
+        self.paths.append(f"/v{self.version}/")
+        routes = [make_gather(SHARDS, **{"top-k": N_RECORDS}), make_order()]
+        routes += [
+            make_order(name=f"r{path}", **{"path-prefix": path, "type": "safe"})
+            for path in self.paths
+        ]
+        document = {
+            "version": self.version,
+            "routes": routes,
+            "services": [
+                {"name": name, "max-connections": 64} for name in (*SHARDS, "desk")
+            ],
+            "limits": {"idle-timeout-ms": 15000},
+        }
+        self.store.put("config", "main", document)
+
+    def run_for(self, seconds):
+        """Let time pass; restart nodes that have ended, as the platform does."""
+        until = self.loop.seconds() + seconds
+        while self.loop.seconds() < until:
+            self.loop.run_once(0.02)
+            for node in self.nodes:
+                if not node.is_running:
+                    node.start()
+
+    def _wait_ready(self):
+        from tests.soak.callers import fetch_status
+
+        deadline = time.monotonic() + START_S
+        waiting = set(self.nodes)
+        while waiting:
+            assert time.monotonic() < deadline, f"not ready: {waiting}"
+            self.run_for(0.1)
+            waiting = {
+                node
+                for node in waiting
+                if fetch_status(self, (node.ip, node.ports[1])) != 200
+            }
