Upstreams are known by their failures and by what was silent until the end

A success cleared what an upstream had done before, a late one too; a leg that was open when its search settled taught nothing; a cut leg counted as if it had answered at that moment; and 0.2 s of passing over is shorter than the pause between two searches of a node. Change: a share of failures by upstream that fades, part of its cost; late legs that are cut at the end teach and are passed over; a cut leg counts 1.5 times its age; 0.4 s first. A test of the passing over takes its times from the constant and checks one more.

--- a/src/heatherpick/_serving/directory.py
+++ b/src/heatherpick/_serving/directory.py
@@ -16,8 +16,12 @@
 SCALE_HALF_LIFE_S = 3.0
 #: First and longest time for which an upstream that stalled or failed is passed over,
 #: in seconds; each further stall doubles it.
-FIRST_AVOID_S = 0.2
-MAX_AVOID_S = 3.0
+FIRST_AVOID_S = 0.4
+MAX_AVOID_S = 3.2
+#: Weight of the newest outcome in an upstream's share of failures, and the relative
+#: cost of one that always fails.
+FAILURE_WEIGHT = 0.3
+FAILURE_COST = 4.0
 #: Age at which half of an upstream's own report of its load counts, in seconds.
 LOAD_HALF_LIFE_S = 0.2
 #: Relative cost of an upstream whose slots are all busy, and the load, in slots, from
@@ -47,6 +51,8 @@
 
     __slots__ = (
         "_avoid_until",
+        "_failure_at",
+        "_failure_share",
         "_load",
         "_load_at",
         "_n_avoids",
@@ -71,6 +77,14 @@
         self._load_at = now
         self._avoid_until = 0.0
         self._n_avoids = 0
+        self._failure_share = 0.0
+        self._failure_at = now
+
+    def learn_outcome(self, has_failed, now):
+        """Take in whether an answer came that is of use."""
+        share = self._compute_failure_share(now)
+        self._failure_share = share + FAILURE_WEIGHT * (float(has_failed) - share)
+        self._failure_at = now
 
     def learn_latency(self, ratio, now):
         """Take in a latency relative to the route's usual one."""
@@ -116,8 +130,14 @@
             cost += LAPSED_COST
         if now < self._avoid_until:
             cost += AVOIDED_COST
+        if self._failure_share:
+            cost += FAILURE_COST * self._compute_failure_share(now)
         return cost
 
+    def _compute_failure_share(self, now):
+        age = now - self._failure_at
+        return self._failure_share * 0.5 ** (age / SCALE_HALF_LIFE_S)
+
     def _fade(self, now):
         # A slow upstream is asked less, so its memory must fade for it to be found
         # well again.
--- a/src/heatherpick/_serving/pace.py
+++ b/src/heatherpick/_serving/pace.py
@@ -17,6 +17,8 @@
 LEAST_MS = 0.5
 #: Share of a search's shards that must have answered before they tell its pace.
 KNOWN_SHARE = 0.5
+#: What an upstream whose leg was cut would have taken, in ages of that leg.
+CUT_RATIO = 1.5
 #: Age of a late leg of a search whose pace is known: this many times the age at which
 #: that share had answered, and a number of milliseconds for a new connection.
 LATE_RATIO = 1.25
@@ -95,7 +97,7 @@
 
     def learn_cut(self, upstream, elapsed_ms, now):
         """Take in that an upstream had not answered when its leg was cut."""
-        ratio = elapsed_ms / self._usual_ms
+        ratio = CUT_RATIO * elapsed_ms / self._usual_ms
         if ratio > upstream.scale:
             upstream.learn_latency(ratio, now)
 
--- a/src/heatherpick/_serving/requests.py
+++ b/src/heatherpick/_serving/requests.py
@@ -343,6 +343,7 @@
         if event.status in PROMISES:
             # Handed on, the status would promise that the request has not run, which
             # this upstream has not said.
+            upstream.learn_outcome(True, now)
             upstream.avoid(now)
             leg.shard.note_trouble(upstream, f"status {event.status} without proof")
             self._retry(leg.query, leg.shard, now, effects)
@@ -352,6 +353,7 @@
             leg.shard.failure = event.answer
             leg.query.give_up(leg.shard)
         else:
+            upstream.learn_outcome(True, now)
             upstream.avoid(now)
             leg.shard.note_trouble(upstream, f"status {event.status}")
             if event.signature:
@@ -377,8 +379,11 @@
         query = leg.query
         shard = leg.shard
         pace = query.pace
-        leg.upstream.trust()
-        is_pace_news = pace.learn(leg.upstream, leg.compute_age_ms(now), now)
+        age_ms = leg.compute_age_ms(now)
+        if age_ms < pace.late_ms:
+            leg.upstream.trust()
+        leg.upstream.learn_outcome(False, now)
+        is_pace_news = pace.learn(leg.upstream, age_ms, now)
         for other in shard.legs:
             pace.learn_cut(other.upstream, other.compute_age_ms(now), now)
             other.upstream.n_open -= 1
@@ -400,6 +405,7 @@
         leg = event.leg
         if not self._close(leg):
             return
+        leg.upstream.learn_outcome(True, now)
         leg.upstream.avoid(now)
         leg.shard.note_trouble(leg.upstream, event.reason)
         if not event.was_sent:
@@ -622,8 +628,11 @@
         for shard in query.shards:
             for leg in shard.legs:
                 leg.upstream.n_open -= 1
-                age_ms = round((now - leg.sent_at) * 1000.0)
-                shard.note_trouble(leg.upstream, f"silent for {age_ms} ms")
+                age_ms = leg.compute_age_ms(now)
+                shard.note_trouble(leg.upstream, f"silent for {round(age_ms)} ms")
+                if age_ms >= query.pace.late_ms:
+                    query.pace.learn_cut(leg.upstream, age_ms, now)
+                    leg.upstream.avoid(now)
                 effects.append(fx.CancelLeg(leg))
             shard.legs.clear()
 
--- a/tests/direct/test_requests.py
+++ b/tests/direct/test_requests.py
@@ -10,7 +10,7 @@
 from heatherpick._serving import effects as fx
 from heatherpick._serving import events as ev
 from heatherpick._serving.cold import ColdGate
-from heatherpick._serving.directory import Directory
+from heatherpick._serving.directory import FIRST_AVOID_S, Directory
 from heatherpick._serving.model import Route, Service, Snapshot, UpstreamEntry
 from heatherpick._serving.pace import LATE_MARGIN_MS, LATE_RATIO
 from heatherpick._serving.reach import Reach
@@ -780,10 +780,71 @@
 def test_stalled_upstream_is_passed_over_for_longer_each_time():
     directory = Directory("a")
     one = directory.put(make_entry("one", "desk"), 0.0)
+    first = FIRST_AVOID_S
     one.avoid(0.0)
-    assert one.is_avoided(0.1)
-    assert not one.is_avoided(0.3)
-    one.avoid(0.3)
-    assert one.is_avoided(0.6)
+    assert one.is_avoided(0.9 * first)
+    assert not one.is_avoided(1.1 * first)
+    one.avoid(1.1 * first)
+    assert one.is_avoided(3.0 * first)
+    assert not one.is_avoided(3.2 * first)
+    one.avoid(3.2 * first)
     one.trust()
-    assert not one.is_avoided(0.6)
+    assert not one.is_avoided(3.2 * first)
+
+
+# What upstreams are known for
+
+
+def make_triple(n_shards=1, **fields):
+    """Return a player whose shards have three replicas each."""
+    services = [f"part-{n}" for n in range(n_shards)]
+    entries = [make_entry(f"{s}-{k}", s) for s in services for k in "abc"]
+    return Player([make_route("find", services, **fields)], entries)
+
+
+def test_upstream_that_loses_many_answers_gets_few_first_legs():
+    player = make_triple()
+    rng = random.Random(5)
+    n_to_faulty = 0
+    for n in range(120):
+        n_before = len(player.sent)
+        player.ask(request_id=f"r{n}")
+        first = player.sent[n_before].leg
+        if n >= 20:
+            n_to_faulty += first.upstream.entry.id == "part-0-a"
+        while player.legs:
+            player.pass_time(10.0)
+            (leg,) = player.legs
+            if leg.upstream.entry.id == "part-0-a" and rng.random() < 0.4:
+                player.fail(leg)
+            else:
+                player.answer(leg)
+        player.pass_time(100.0)
+    assert n_to_faulty < 20
+
+
+def test_upstreams_that_were_silent_until_the_end_are_passed_over_by_the_next_search():
+    player = make_triple(n_shards=4, least_coverage=0.5)
+    player.ask()
+    silent = [leg for leg in player.legs if leg.shard.service == "part-0"]
+    for leg in [leg for leg in player.legs if leg not in silent]:
+        player.answer(leg)
+    player.pass_time(99.0)
+    asked = {each.leg.upstream.entry.id for each in player.sent}
+    asked_first_shard = {each for each in asked if each.startswith("part-0")}
+    assert len(asked_first_shard) == 2
+    n_before = len(player.sent)
+    player.ask(request_id="r2")
+    next_legs = [each.leg.upstream.entry.id for each in player.sent[n_before:]]
+    (third,) = [each for each in next_legs if each.startswith("part-0")]
+    assert third not in asked_first_shard
+
+
+def test_late_answer_does_not_make_an_upstream_trusted_again():
+    player = make_triple(n_shards=1, timeout_ms=2000.0, objective_ms=1000.0)
+    player.ask(patience_ms=2000.0)
+    (slow,) = player.legs
+    player.pass_time(900.0)
+    assert slow.upstream.is_avoided(player.now)
+    player.answer(slow)
+    assert slow.upstream.is_avoided(player.now)
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -236,12 +236,19 @@
 
     def __enter__(self):
         self.publish()
-        for node in self.nodes:
-            node.start()
-        self._wait_ready()
+        try:
+            for node in self.nodes:
+                node.start()
+            self._wait_ready()
+        except BaseException:
+            self._end_all()
+            raise
         return self
 
     def __exit__(self, *exception):
+        self._end_all()
+
+    def _end_all(self):
         for node in self.nodes:
             node.end()
 
