--- a/tests/direct/test_requests.py
+++ b/tests/direct/test_requests.py
@@ -848,3 +848,11 @@
     assert slow.upstream.is_avoided(player.now)
     player.answer(slow)
     assert slow.upstream.is_avoided(player.now)
+
+
+def test_refusals_for_want_of_a_listed_upstream_do_not_make_a_node_look_cut_off():
+    player = Player([make_route("look", ["nobody"], **LOOKUP)], [])
+    for n in range(5):
+        player.ask("/look/x", request_id=f"r{n}")
+    assert [end.status for end in player.ends] == [503] * 5
+    assert not player.reach.is_cut_off(player.now + 1.5)
