A search whose aggregator said nothing asks one upstream less

An aggregator that stands still for a moment reads the offer after the 30 ms in which the node took it back, sends first legs before it sees the close, and the node asks two more. Change: after silence or a loss before acceptance, one of the upstreams that the route allows is left to the aggregator. A decline leaves nothing, as no leg was sent. The new test fails with the old code.

--- a/src/heatherpick/_serving/handovers.py
+++ b/src/heatherpick/_serving/handovers.py
@@ -88,6 +88,7 @@
         if query.is_accepted:
             self._refuse(query, 502, "aggregator lost", now, effects)
         else:
+            query.was_silent = True
             self._take_back(query, now, effects)
 
     def advance(self, query, now, effects):
@@ -97,6 +98,7 @@
             self._refuse(query, 504, "no answer in time", now, effects)
             return
         self._aggregators.note_silence(query.aggregator, now)
+        query.was_silent = True
         effects.append(fx.TakeBack(query))
         self._take_back(query, now, effects)
 
--- a/src/heatherpick/_serving/queries.py
+++ b/src/heatherpick/_serving/queries.py
@@ -136,6 +136,8 @@
         Whether another node handed the search over to this one.
     aggregator : str or None
         Search address of the node that was offered the search.
+    was_silent : bool
+        Whether an aggregator that was offered the search said nothing.
     pace : Pace or None
         When its legs are late; None until they are sent from here.
     accept_by : float or None
@@ -160,6 +162,7 @@
         "settles",
         "shards",
         "snapshot",
+        "was_silent",
         "way_ms",
     )
 
@@ -180,9 +183,21 @@
         self.has_ended = False
         self.is_for_peer = False
         self.pace = None
+        self.was_silent = False
         self.aggregator = None
         self.accept_by = None
 
+    @property
+    def n_upstreams(self):
+        """Most upstreams that this node may ask for one shard.
+
+        An aggregator that said nothing may have begun the search, so that one of the
+        upstreams that the route allows is left to it.
+        """
+        if self.was_silent:
+            return max(1, self.route.n_upstreams - 1)
+        return self.route.n_upstreams
+
     @property
     def is_accepted(self):
         """Whether an aggregator runs the search."""
--- a/tests/direct/test_aggregators.py
+++ b/tests/direct/test_aggregators.py
@@ -92,6 +92,18 @@
     assert (type(player.end), player.end.n_missing) == (fx.Merge, 0)
 
 
+@pytest.mark.parametrize("is_lost", [True, False])
+def test_silent_aggregator_may_have_begun_so_one_upstream_less_is_asked(
+    player, is_lost
+):
+    query = player.hand_over(accepts=False).query
+    if is_lost:
+        player.feed(ev.HandOverFailed(query, "reset"))
+    player.pass_time(95.0)
+    asked = [each.leg.upstream.entry.service for each in player.sent]
+    assert sorted(asked) == [f"part-{n}" for n in range(4)]
+
+
 def test_silent_aggregator_is_passed_over_for_a_while(player):
     silent = player.hand_over(accepts=False).address
     player.pass_time(MAX_ACCEPT_S * 1000.0)
