Bytes without end: bounded heads, trailers, bodies and words of relays

Cause: a connection to an upstream bounded the body of an answer only, at 8 MiB; its head, its trailers, interim answers and extensions of chunks were read for as long as they came, one header line without end among them. A caller's header line without end was kept until its time limit. A body in chunks of one byte was kept as one object a byte.

Change: what an answer has beside its body is at most 64 KiB and 8 bytes for each byte of the body, late answers to earlier requests included; a part of a search has at most 256 KiB, any other answer 8 MiB; unfinished answers of all upstreams hold at most 32 MiB together, and the largest is broken off. A caller's request has the same bounds by its own limits. Bytes on an idle connection end it. One turn of the loop takes at most 256 KiB from one stream. Words of relays unpack to at most 16 MiB.

Ruled out: a time limit of its own for slow answers; each exchange ends by the deadline of its request, the answer limit of the store or the poll timeout of a relay.

Tests: tests/direct/test_endless_bytes.py; its cases fail with the bounds switched off.

--- a/src/heatherpick/_net/callers.py
+++ b/src/heatherpick/_net/callers.py
@@ -10,6 +10,9 @@
 
 #: Requests that may wait on one connection before no more is read from it.
 MAX_PIPELINED = 8
+#: Bytes that frame a body, such as sizes of chunks and trailers, for each byte of it; a
+#: chunk of one byte is framed by five. On top come as many as a head may have.
+MAX_FRAMING_SHARE = 8
 #: Headers that concern one connection only and are never handed on.
 HOP_HEADERS = frozenset(
     {
@@ -154,9 +157,11 @@
         "_closes",
         "_deadline",
         "_fault",
+        "_has_head",
         "_headers",
         "_n_body",
         "_n_head",
+        "_n_read",
         "_parser",
         "_queue",
         "_target",
@@ -203,9 +208,11 @@
         self._target = b""
         self._headers = []
         self._by_name = {}
-        self._body = []
+        self._body = bytearray()
+        self._has_head = False
         self._n_head = 0
         self._n_body = 0
+        self._n_read = 0
 
     # Stream
 
@@ -216,12 +223,14 @@
         if self._n_head == 0 and self._active is None:
             self._expect_by(self.owner.limits.header_timeout_s)
         self._n_head = max(self._n_head, 1)
+        self._n_read += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
             self._fail(400)
         except httptools.HttpParserError:
             self._fail(self._fault or 400)
+        self._check_framing()
         if self._fault and not self._closes:
             self._fail(self._fault)
         if len(self._queue) > MAX_PIPELINED:
@@ -236,6 +245,15 @@
         self._queue.clear()
         self.owner.forget(self)
 
+    def _check_framing(self):
+        """Refuse a request whose bytes beside its body do not end."""
+        most = self.owner.limits.max_header_bytes
+        if self._has_head:
+            most += most + MAX_FRAMING_SHARE * self._n_body
+        if self._n_read - self._n_body > most and not self._fault:
+            # The parser keeps a line that has not ended, so it gets no more of it.
+            self._fault = 400 if self._has_head else 431
+
     # Callbacks of the parser
 
     def on_url(self, url):
@@ -252,6 +270,7 @@
 
     def on_headers_complete(self):
         """Take note that the head is whole."""
+        self._has_head = True
         if b"100-continue" in self._by_name.get(b"expect", b"").lower():
             self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
         length = self._by_name.get(b"content-length", b"")
@@ -265,7 +284,7 @@
             self._fault = 413
             self._body.clear()
             return
-        self._body.append(body)
+        self._body += body
 
     def on_message_complete(self):
         """Take the whole request."""
@@ -284,7 +303,7 @@
             self._target,
             headers,
             self._by_name,
-            b"".join(self._body),
+            bytes(self._body),
             self._parser.should_keep_alive(),
         )
         self._reset()
--- a/src/heatherpick/_net/documents.py
+++ b/src/heatherpick/_net/documents.py
@@ -42,6 +42,9 @@
 ZLIB_LEVEL = 3
 #: Stands for a word from the store of which nobody knows how old it is, in seconds.
 UNKNOWN_AGE_S = 1e6
+#: Largest words of a relay once unpacked, in bytes: thousands of upstreams and nodes
+#: and declarations of a megabyte.
+MAX_NEWS_BYTES = 16 * 1024 * 1024
 PATH = b"/changes"
 
 
@@ -316,7 +319,7 @@
             self._fail_poll(address, reason or f"status {answer.status}")
             return
         try:
-            document = orjson.loads(zlib.decompress(answer.body))
+            document = _decode_news(answer.body)
             age_s = float(document["age_s"])
             for kind, news in document["kinds"].items():
                 self._take_news(kind, news)
@@ -435,3 +438,12 @@
         for each in (change.object,)
     ]
     return {"revision": copy.revision, "all": None, "changes": rows}
+
+
+def _decode_news(body):
+    """Unpack the words of a relay; raise ValueError for ones too large."""
+    unpacker = zlib.decompressobj()
+    data = unpacker.decompress(body, MAX_NEWS_BYTES)
+    if not unpacker.eof:
+        raise ValueError(f"does not end within {MAX_NEWS_BYTES} bytes")
+    return orjson.loads(data)
--- a/src/heatherpick/_net/gateway.py
+++ b/src/heatherpick/_net/gateway.py
@@ -1,5 +1,6 @@
 """Carries out what the reducer of requests decides."""
 
+from heatherpick._net.budgets import ReadBudget
 from heatherpick._net.callers import CallerConnection
 from heatherpick._net.searches import (
     AGE_HEADER,
@@ -8,7 +9,11 @@
     SearchClient,
 )
 from heatherpick._net.sockets import Listener
-from heatherpick._net.upstreams import ConnectionPool, Exchange
+from heatherpick._net.upstreams import (
+    MAX_ANSWER_BYTES,
+    ConnectionPool,
+    Exchange,
+)
 from heatherpick._serving import effects as fx
 from heatherpick._serving import events as ev
 from heatherpick._serving.model import CallerLimits
@@ -18,6 +23,12 @@
 #: Nodes among which an upstream's connections are divided, and the least that each has.
 N_NODES_ASSUMED = 16
 LEAST_CONNECTIONS = 3
+#: Largest body of a shard's part that is read, in bytes. A search holds one of each
+#: shard until it is merged; the users' parts have a thousand bytes.
+MAX_PART_BYTES = 256 * 1024
+#: Most that unfinished answers of all upstreams hold together, in bytes: a fifth of the
+#: memory of the smallest VM.
+LEGS_BUDGET_BYTES = 32 * 1024 * 1024
 #: Pause between two looks at idle connections and lapsed upstreams, in seconds.
 SWEEP_S = 0.5
 
@@ -51,6 +62,7 @@
         self._log = log
         self._counters = counters
         self._pools = {}
+        self._budget = ReadBudget(LEGS_BUDGET_BYTES)
         self._connections = set()
         self._listener = None
         self._reserved = frozenset(
@@ -237,6 +249,7 @@
             request.method != b"HEAD",
             leg,
             self._note_left,
+            max_body_bytes=MAX_PART_BYTES if query.route.is_gather else MAX_ANSWER_BYTES,
         )
         self._exchanges[leg] = exchange
         if not self._find_pool(entry).send(exchange):
@@ -344,7 +357,11 @@
         pool = self._pools.get(entry.id)
         if pool is None or (pool.host, pool.port) != (entry.host, entry.port):
             pool = ConnectionPool(
-                self._loop, entry.host, entry.port, self._share_connections(entry)
+                self._loop,
+                entry.host,
+                entry.port,
+                self._share_connections(entry),
+                budget=self._budget,
             )
             self._pools[entry.id] = pool
         return pool
--- a/src/heatherpick/_net/sockets.py
+++ b/src/heatherpick/_net/sockets.py
@@ -9,6 +9,9 @@
 
 #: Largest piece that one read takes, in bytes.
 READ_BYTES = 16384
+#: Most pieces that one stream takes in a turn of the loop, so that a peer that sends
+#: without end does not keep all others waiting.
+MAX_READS = 16
 #: Time after which a peer that acknowledges nothing is given up, in milliseconds.
 USER_TIMEOUT_MS = 3000
 #: Idle time before the first keep-alive probe and between probes, in seconds, and the
@@ -195,6 +198,7 @@
             self.write(out)
 
     def _read(self):
+        n_reads = 0
         while not self.is_closed:
             try:
                 data = self.sock.recv(READ_BYTES)
@@ -207,7 +211,10 @@
                 self._lose("closed by peer", True)
                 return
             self.received(data)
-            if len(data) < READ_BYTES and not self.is_peer_closing:
+            n_reads += 1
+            is_enough = len(data) < READ_BYTES or n_reads >= MAX_READS
+            # Behind the last bytes of a peer that has closed lies the end itself.
+            if is_enough and not self.is_peer_closing:
                 return
 
     def _lose(self, reason, was_clean):
--- a/src/heatherpick/_net/upstreams.py
+++ b/src/heatherpick/_net/upstreams.py
@@ -4,13 +4,30 @@
 
 import httptools
 
+from heatherpick._net.budgets import ReadBudget
 from heatherpick._net.callers import HOP_HEADERS
 from heatherpick._net.sockets import Stream, open_stream_socket
 
-__all__ = ["Answer", "ClientConnection", "ConnectionPool", "Exchange"]
+__all__ = [
+    "MAX_ANSWER_BYTES",
+    "Answer",
+    "ClientConnection",
+    "ConnectionPool",
+    "Exchange",
+]
 
-#: Largest answer that is read, in bytes.
+#: Largest body of an answer that is read, in bytes; a page of the platform's store has
+#: a megabyte, a relay's first answer several.
 MAX_ANSWER_BYTES = 8 * 1024 * 1024
+#: Bytes beside the body that one answer may have: head, interim answers, sizes of
+#: chunks, trailers and late answers to earlier requests. On top come some for each byte
+#: of the body, as a chunk of one byte is framed by five.
+MAX_FRAMING_BYTES = 64 * 1024
+MAX_FRAMING_SHARE = 8
+#: Body from which on an unfinished answer counts in its pool's budget, in bytes, and
+#: the budget of a pool that shares none.
+SMALL_BODY_BYTES = 16 * 1024
+POOL_BUDGET_BYTES = 2 * MAX_ANSWER_BYTES
 #: Idle time after which a connection is not used again where the peer states none, in
 #: seconds.
 IDLE_S = 10.0
@@ -77,6 +94,8 @@
     accepted : callable, optional
         ``accepted(exchange)`` is called when an interim answer says that the peer has
         begun the request.
+    max_body_bytes : int, default=MAX_ANSWER_BYTES
+        Largest body that is read.
     """
 
     __slots__ = (
@@ -88,6 +107,7 @@
         "expects_body",
         "id_header",
         "left",
+        "max_body_bytes",
         "pool",
         "repeatable",
         "request_id",
@@ -104,6 +124,7 @@
         context=None,
         left=None,
         accepted=None,
+        max_body_bytes=MAX_ANSWER_BYTES,
     ):
         self.data = data
         self.done = done
@@ -114,6 +135,7 @@
         self.context = context
         self.left = left
         self.accepted = accepted
+        self.max_body_bytes = max_body_bytes
         self.connection = None
         self.pool = None
 
@@ -152,6 +174,7 @@
         "_headers",
         "_is_framed",
         "_n_body",
+        "_n_read",
         "_parser",
         "_status",
         "_timer",
@@ -169,6 +192,7 @@
         self._parser = httptools.HttpResponseParser(self)
         self._exchange = None
         self._wants_close = False
+        self._n_read = 0
         self._reset()
         code = sock.connect_ex((pool.host, pool.port))
         super().__init__(loop, sock, is_connecting=True)
@@ -185,13 +209,14 @@
         self._status = 0
         self._headers = []
         self._by_name = {}
-        self._body = []
+        self._body = bytearray()
         self._n_body = 0
         self._is_framed = False
 
     def send(self, exchange):
         """Begin an exchange on this idle or connecting connection."""
         self._exchange = exchange
+        self._n_read = 0
         exchange.connection = self
         if not self._is_connecting:
             self.write(exchange.data)
@@ -218,17 +243,27 @@
 
     def received(self, data):
         """Parse bytes of the answer."""
+        if self._exchange is None:
+            # Nobody asked for these bytes, so what follows them cannot be trusted.
+            self._discard()
+            return
+        self._n_read += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
-            self._break("upgrade")
+            self.break_off("upgrade")
         except httptools.HttpParserError as error:
             if not self.is_closed:
-                self._break(f"not an answer: {error}")
+                self.break_off(f"not an answer: {error}")
+        n_framing = self._n_read - self._n_body
+        most = MAX_FRAMING_BYTES + MAX_FRAMING_SHARE * self._n_body
+        if n_framing > most and self._exchange is not None:
+            self.break_off(f"{n_framing} bytes beside the body, at most {most} are read")
 
     def lost(self, reason, was_clean):
         """End the exchange; without a length, a clean end completes the answer."""
         self._timer.cancel()
+        self.pool.budget.release(self)
         self.pool.note_closed(self)
         exchange, self._exchange = self._exchange, None
         if exchange is None:
@@ -277,10 +312,15 @@
     def on_body(self, body):
         """Take a piece of the body."""
         self._n_body += len(body)
-        if self._n_body > MAX_ANSWER_BYTES:
-            self._break("answer too large")
+        exchange = self._exchange
+        if exchange is None:
+            return
+        if self._n_body > exchange.max_body_bytes:
+            self.break_off(f"body beyond {exchange.max_body_bytes} bytes")
             return
-        self._body.append(body)
+        self._body += body
+        if self._n_body > SMALL_BODY_BYTES:
+            self.pool.budget.hold(self, self._n_body)
 
     def on_message_complete(self):
         """Take the whole answer."""
@@ -304,10 +344,11 @@
         return not exchange.id_header or stated is None or stated == exchange.request_id
 
     def _build_answer(self):
-        return Answer(self._status, self._headers, self._by_name, b"".join(self._body))
+        return Answer(self._status, self._headers, self._by_name, bytes(self._body))
 
     def _finish(self):
         exchange, self._exchange = self._exchange, None
+        self.pool.budget.release(self)
         answer = self._build_answer()
         self.idle_limit_s = self._read_idle_limit()
         if self._wants_close:
@@ -333,7 +374,8 @@
         self.idle_since = self.loop.seconds()
         self.pool.take_back(self)
 
-    def _break(self, reason):
+    def break_off(self, reason):
+        """End the connection and its exchange without an answer."""
         exchange, self._exchange = self._exchange, None
         self._discard()
         if exchange is not None:
@@ -343,6 +385,7 @@
         if not self.is_closed:
             self._timer.cancel()
             self.close()
+            self.pool.budget.release(self)
             self.pool.note_closed(self)
 
 
@@ -359,12 +402,15 @@
         Most connections at a time; further exchanges wait.
     connect_timeout_s : float, default=CONNECT_TIMEOUT_S
         Longest wait for a new connection.
+    budget : ReadBudget, optional
+        Bounds what unfinished answers hold; one of the pool's own by default.
     """
 
     __slots__ = (
         "_idle",
         "_open",
         "_waiting",
+        "budget",
         "connect_timeout_s",
         "host",
         "loop",
@@ -380,7 +426,9 @@
         port,
         max_connections,
         connect_timeout_s=CONNECT_TIMEOUT_S,
+        budget=None,
     ):
+        self.budget = ReadBudget(POOL_BUDGET_BYTES) if budget is None else budget
         self.connect_timeout_s = connect_timeout_s
         self.loop = loop
         self.host = host
--- /dev/null
+++ b/tests/direct/test_endless_bytes.py
@@ -0,0 +1,303 @@
+"""Peers that send bytes without end: bounded memory, and an end of the connection."""
+
+import itertools
+import select
+import socket
+import tracemalloc
+import zlib
+
+import pytest
+
+from heatherpick._net import documents, upstreams
+from heatherpick._net.budgets import ReadBudget
+from heatherpick._net.callers import CallerConnection
+from heatherpick._net.loop import EventLoop
+from heatherpick._net.sockets import MAX_READS, READ_BYTES
+from heatherpick._net.upstreams import (
+    MAX_ANSWER_BYTES,
+    MAX_FRAMING_BYTES,
+    ConnectionPool,
+    Exchange,
+)
+from heatherpick._serving.model import CallerLimits
+from tests.direct.site import make_site
+from tests.direct.test_streams import Outcomes, Upstream, report_fault
+
+OK = b"HTTP/1.1 200 OK\r\n"
+CHUNKED = OK + b"Transfer-Encoding: chunked\r\n\r\n"
+#: Bytes that a test feeds at most, far beyond every bound.
+ENOUGH_BYTES = 4 * MAX_ANSWER_BYTES
+
+
+def repeat(*first, piece):
+    return itertools.chain(first, itertools.repeat(piece))
+
+
+ENDLESS = {
+    "header lines": lambda: repeat(OK, piece=b"X-Filler: " + b"a" * 90 + b"\r\n"),
+    "one header line": lambda: repeat(OK + b"X-Filler: ", piece=b"a" * 4000),
+    "status line": lambda: repeat(b"HTTP/1.1 200 ", piece=b"a" * 4000),
+    "interim answers": lambda: repeat(piece=b"HTTP/1.1 102 Processing\r\n\r\n"),
+    "empty lines": lambda: repeat(piece=b"\r\n" * 1000),
+    "extensions of chunks": lambda: repeat(
+        CHUNKED, piece=b"1;" + b"e" * 500 + b"\r\na\r\n"
+    ),
+    "one extension": lambda: repeat(CHUNKED + b"1;", piece=b"e" * 4000),
+    "trailers": lambda: repeat(CHUNKED + b"0\r\n", piece=b"X-Trailer: aaaa\r\n"),
+    "one trailer": lambda: repeat(CHUNKED + b"0\r\nX: ", piece=b"a" * 4000),
+    "late answers": lambda: repeat(
+        piece=OK + b"id: z\r\nContent-Length: 4\r\n\r\nlate"
+    ),
+    "body without a length": lambda: repeat(OK + b"\r\n", piece=b"a" * 16000),
+    "body in chunks": lambda: repeat(
+        CHUNKED, piece=b"3e80\r\n" + b"a" * 16000 + b"\r\n"
+    ),
+    "body of a stated length": lambda: repeat(
+        OK + b"Content-Length: 99999999999\r\n\r\n", piece=b"a" * 16000
+    ),
+    "body of tiny chunks": lambda: repeat(CHUNKED, piece=b"1\r\na\r\n" * 1000),
+}
+HAS_BODY = {name for name in ENDLESS if name.startswith("body")}
+
+
+@pytest.fixture
+def loop():
+    return EventLoop(report_fault)
+
+
+@pytest.fixture
+def upstream():
+    each = Upstream()
+    yield each
+    each.sock.close()
+
+
+def open_exchange(loop, upstream, outcomes, **fields):
+    pool = ConnectionPool(loop, "127.0.0.1", upstream.port, 1)
+    exchange = Exchange(b"GET / HTTP/1.1\r\n\r\n", outcomes.done, b"a", b"id", **fields)
+    pool.send(exchange)
+    connection = upstream.accept()
+    while exchange.connection.is_connecting:
+        loop.run_once(0.02)
+    return pool, exchange.connection, connection
+
+
+def feed(stream, pieces):
+    """Feed pieces until the stream closes; return the bytes that it took."""
+    n_bytes = 0
+    for piece in pieces:
+        if stream.is_closed:
+            return n_bytes
+        assert n_bytes < ENOUGH_BYTES, "the connection was never closed"
+        stream.received(piece)
+        n_bytes += len(piece)
+    return n_bytes
+
+
+@pytest.mark.parametrize("kind", ENDLESS)
+def test_answer_without_end_ends_its_connection_and_counts_as_failed(
+    loop, upstream, kind
+):
+    outcomes = Outcomes()
+    pool, stream, connection = open_exchange(
+        loop, upstream, outcomes, max_body_bytes=500_000
+    )
+    n_bytes = feed(stream, ENDLESS[kind]())
+    assert [(answer, was_sent) for answer, was_sent, _ in outcomes] == [(None, True)]
+    assert pool.n_open == 0
+    assert pool.budget.n_bytes == 0
+    if kind not in HAS_BODY:
+        assert n_bytes <= MAX_FRAMING_BYTES + READ_BYTES
+    connection.close()
+
+
+@pytest.mark.parametrize("kind", sorted(ENDLESS.keys() - HAS_BODY))
+def test_head_without_end_takes_no_memory_beyond_its_bound(loop, upstream, kind):
+    _, stream, connection = open_exchange(loop, upstream, Outcomes())
+    tracemalloc.start()
+    try:
+        feed(stream, ENDLESS[kind]())
+        _, peak = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+    connection.close()
+    # Short lines are kept twice, each in objects of its own.
+    assert peak < 20 * MAX_FRAMING_BYTES
+
+
+def test_body_is_bounded_by_what_its_exchange_expects(loop, upstream):
+    outcomes = Outcomes()
+    _, stream, connection = open_exchange(
+        loop, upstream, outcomes, max_body_bytes=50_000
+    )
+    n_bytes = feed(stream, ENDLESS["body without a length"]())
+    assert n_bytes <= 50_000 + 2 * READ_BYTES
+    assert outcomes[0][2] == "body beyond 50000 bytes"
+    connection.close()
+
+
+def test_bytes_on_an_idle_connection_end_it(loop, upstream):
+    outcomes = Outcomes()
+    pool, stream, connection = open_exchange(loop, upstream, outcomes)
+    stream.received(OK + b"Content-Length: 2\r\n\r\nok")
+    loop.run_once(0.0)
+    assert pool.n_open == 1
+    stream.received(b"\r\n")
+    assert pool.n_open == 0
+    assert outcomes[0][0].body == b"ok"
+    connection.close()
+
+
+def test_endless_answers_together_stay_within_the_budget(loop, upstream, monkeypatch):
+    budget = ReadBudget(200_000)
+    pool = ConnectionPool(loop, "127.0.0.1", upstream.port, 20, budget=budget)
+    outcomes = Outcomes()
+    streams = []
+    for _ in range(20):
+        exchange = Exchange(b"GET / HTTP/1.1\r\n\r\n", outcomes.done)
+        pool.send(exchange)
+        streams.append(exchange.connection)
+    while any(stream.is_connecting for stream in streams):
+        loop.run_once(0.02)
+    for stream in streams:
+        stream.received(OK + b"\r\n")
+    for _ in range(50):
+        for stream in streams:
+            if not stream.is_closed:
+                stream.received(b"a" * 4000)
+        held = sum(len(each._body) for each in streams if not each.is_closed)
+        assert held <= 200_000 + 20 * upstreams.SMALL_BODY_BYTES
+    assert len(outcomes) >= 10
+    assert all("unfinished answers hold" in reason for _, _, reason in outcomes)
+
+
+def test_sound_answer_in_many_small_chunks_is_taken(loop, upstream):
+    outcomes = Outcomes()
+    _, stream, connection = open_exchange(loop, upstream, outcomes)
+    body = b"".join(b"1\r\n%c\r\n" % (97 + k % 26) for k in range(50_000))
+    for start in range(0, len(body), 4000):
+        stream.received((CHUNKED if not start else b"") + body[start : start + 4000])
+    stream.received(b"0\r\n\r\n")
+    assert len(outcomes[0][0].body) == 50_000
+    connection.close()
+
+
+def test_peer_that_sends_without_end_leaves_the_loop_to_others(loop, upstream):
+    """One turn of the loop takes a bounded number of pieces from one stream."""
+    _, stream, connection = open_exchange(loop, upstream, Outcomes())
+    taken = []
+    sock = stream.sock
+
+    class EndlessSock:
+        def recv(self, n):
+            taken.append(n)
+            return (OK + b"\r\n").ljust(n, b"a") if len(taken) == 1 else b"a" * n
+
+        def __getattr__(self, name):
+            return getattr(sock, name)
+
+    stream.sock = EndlessSock()
+    stream._handle(select.EPOLLIN)
+    assert len(taken) == MAX_READS
+    connection.close()
+
+
+# Callers
+
+
+class Owner:
+    limits = CallerLimits(max_header_bytes=2000, max_body_bytes=5000)
+    is_stopping = False
+
+    def __init__(self):
+        self.requests = []
+
+    def begin(self, request):
+        self.requests.append(request)
+
+    def abandon(self, request):
+        pass
+
+    def forget(self, connection):
+        pass
+
+
+POST = b"POST /x HTTP/1.1\r\nHost: a\r\n"
+CHUNKED_POST = POST + b"Transfer-Encoding: chunked\r\n\r\n"
+ENDLESS_REQUESTS = {
+    "path": lambda: repeat(b"GET /", piece=b"a" * 500),
+    "header lines": lambda: repeat(POST, piece=b"X: aaaaaaa\r\n" * 40),
+    "one header line": lambda: repeat(POST + b"X: ", piece=b"a" * 500),
+    "name of a header": lambda: repeat(POST, piece=b"a" * 500),
+    "empty lines": lambda: repeat(piece=b"\r\n" * 250),
+    "extension of a chunk": lambda: repeat(CHUNKED_POST + b"1;", piece=b"e" * 500),
+    "trailers": lambda: repeat(CHUNKED_POST + b"0\r\n", piece=b"X: aaaaa\r\n" * 50),
+    "body": lambda: repeat(CHUNKED_POST, piece=b"1f4\r\n" + b"a" * 500 + b"\r\n"),
+}
+
+
+def accept_caller(loop, upstream, owner):
+    caller = socket.create_connection(("127.0.0.1", upstream.port))
+    accepted = upstream.accept()
+    accepted.setblocking(False)
+    return caller, CallerConnection(loop, accepted, owner)
+
+
+@pytest.mark.parametrize("kind", ENDLESS_REQUESTS)
+def test_request_without_end_is_refused_after_a_bounded_number_of_bytes(
+    loop, upstream, kind
+):
+    owner = Owner()
+    caller, connection = accept_caller(loop, upstream, owner)
+    n_bytes = 0
+    for piece in ENDLESS_REQUESTS[kind]():
+        if connection._closes:
+            break
+        assert n_bytes < 1_000_000, "the request was never refused"
+        connection.received(piece)
+        n_bytes += len(piece)
+    assert n_bytes <= 2 * owner.limits.max_header_bytes + 2 * 5000
+    status = int(caller.recv(1000).split()[1])
+    assert status in (400, 413, 431)
+    assert owner.requests == []
+    caller.close()
+    connection.close()
+
+
+# Words of relays
+
+
+def test_words_of_a_relay_that_unpack_without_end_are_not_taken():
+    packed = zlib.compress(b"0" * (documents.MAX_NEWS_BYTES + 1))
+    with pytest.raises(ValueError, match="does not end within"):
+        documents._decode_news(packed)
+    with pytest.raises(ValueError, match="does not end within"):
+        documents._decode_news(zlib.compress(b"{}")[:-1])
+
+
+# The whole path
+
+
+@pytest.mark.parametrize("kind", ["header lines", "body without a length", "trailers"])
+def test_shard_whose_upstream_sends_without_end_is_served_by_another(kind):
+    site = make_site()
+
+    def send_without_end(request):
+        stream = request.connection
+        pieces = ENDLESS[kind]()
+
+        def go_on():
+            if not stream.is_closed and not stream.has_unsent:
+                stream.write(b"".join(next(pieces) for _ in range(8)))
+            if not stream.is_closed:
+                site.loop.call_later(0.001, go_on)
+
+        go_on()
+
+    site.upstreams["p0a"].play = send_without_end
+    for n in range(6):
+        caller = site.call()
+        caller.ask("/find/x", request_id=f"r{n}")
+        status, headers, _ = caller.read_answer()
+        assert (status, headers["parts-missing"]) == (200, "0")
+    assert site.faults == []
