A search that two nodes run for a moment asks no more upstreams than its route allows

The node that had such a search took it back 30 ms after its offer and sent legs of its own, with one upstream less; the aggregator had begun all the same and asked two.

Ruled out: a second hand-over (a taken back search is never offered again).

Change: the node that sees the acceptance confirms it by a request behind the search, which has no answer. Until then an aggregator asks one upstream of a shard; the other node, which serves a search itself without having seen an acceptance, asks one less than the route allows. The confirmation comes a round trip after the first legs, long before the first hedge. Where a route allows one upstream only, searches are not handed over.

Test: both nodes' upstreams are counted with and without the confirmation; it fails with the old rule (3 of 2).

--- a/src/heatherpick/_net/callers.py
+++ b/src/heatherpick/_net/callers.py
@@ -308,10 +308,7 @@
         )
         self._reset()
         self._stop_timer()
-        if self._active is None:
-            self._start(request)
-        else:
-            self._queue.append(request)
+        self.take(request)
 
     def _count_head(self, n_bytes):
         self._n_head += n_bytes
@@ -320,6 +317,13 @@
 
     # Requests
 
+    def take(self, request):
+        """Serve a request that was read whole, after those before it."""
+        if self._active is None:
+            self._start(request)
+        else:
+            self._queue.append(request)
+
     def _start(self, request):
         if self.is_peer_closing:
             # The caller is gone already, for instance while this VM stood still.
--- a/src/heatherpick/_net/gateway.py
+++ b/src/heatherpick/_net/gateway.py
@@ -4,6 +4,7 @@
 from heatherpick._net.callers import CallerConnection
 from heatherpick._net.searches import (
     AGE_HEADER,
+    CONFIRMED_HEADER,
     DECLINED,
     VERSION_HEADER,
     SearchClient,
@@ -73,6 +74,7 @@
                 dialect.signature,
                 VERSION_HEADER,
                 AGE_HEADER,
+                CONFIRMED_HEADER,
             }
         )
         self._searches = SearchClient(loop, self.feed, dialect.request_id)
@@ -82,6 +84,7 @@
             fx.Accept: self._accept_search,
             fx.Decline: self._decline_search,
             fx.HandOver: self._hand_over,
+            fx.Confirm: self._confirm,
             fx.TakeBack: self._take_back,
             fx.SendLeg: self._send_leg,
             fx.CancelLeg: self._cancel_leg,
@@ -182,6 +185,11 @@
         )
         self.feed(event)
 
+    def note_confirmed(self, request):
+        """Take note that the node that handed a search over has seen its acceptance."""
+        if request.query is not None:
+            self.feed(ev.HandOverConfirmed(request.query))
+
     def abandon(self, request):
         """Give up a request whose caller has left."""
         request.is_answered = True
@@ -221,6 +229,9 @@
         )
         self._searches.offer(query, effect.address, data)
 
+    def _confirm(self, effect):
+        self._searches.confirm(effect.query)
+
     def _take_back(self, effect):
         self._searches.take_back(effect.query)
 
--- a/src/heatherpick/_net/searches.py
+++ b/src/heatherpick/_net/searches.py
@@ -1,7 +1,8 @@
 """Searches between nodes: offered by one, run by another.
 
 A search travels as the caller's own HTTP request with a few headers more. The node that
-runs it says so at once by an interim answer, 102, or declines with 409.
+runs it says so at once by an interim answer, 102, or declines with 409. The acceptance is
+confirmed by a request without a body behind the search, which has no answer.
 """
 
 from heatherpick._net.callers import CallerConnection
@@ -11,6 +12,7 @@
 
 __all__ = [
     "AGE_HEADER",
+    "CONFIRMED_HEADER",
     "DECLINED",
     "VERSION_HEADER",
     "SearchClient",
@@ -21,6 +23,9 @@
 VERSION_HEADER = b"x-heatherpick-routes"
 #: Time that the offering node has had the search, in microseconds.
 AGE_HEADER = b"x-heatherpick-age-us"
+#: Tells the request that confirms an acceptance from a search.
+CONFIRMED_HEADER = b"x-heatherpick-confirmed"
+CONFIRMATION = b"GET /confirmed HTTP/1.1\r\n%s: 1\r\n\r\n" % CONFIRMED_HEADER
 DECLINED = 409
 #: Longest wait for a connection to another node, in seconds.
 CONNECT_S = 0.1
@@ -29,6 +34,22 @@
 MAX_CONNECTIONS = 8
 
 
+class _SearchConnection(CallerConnection):
+    """Reads searches of another node and its confirmations."""
+
+    __slots__ = ()
+
+    def take(self, request):
+        """Serve a search; pass a confirmation on to the one that is running."""
+        if CONFIRMED_HEADER not in request.by_name:
+            super().take(request)
+        elif self._active is not None:
+            self.owner.confirm(self._active)
+        else:
+            # The search was answered before its confirmation came.
+            self._expect_by(self.owner.limits.idle_timeout_s)
+
+
 class SearchServer:
     """Takes searches of other nodes.
 
@@ -43,6 +64,7 @@
         self._gateway = gateway
         self.abandon = gateway.abandon
         self.forget = gateway.forget
+        self.confirm = gateway.note_confirmed
 
     @property
     def limits(self):
@@ -59,7 +81,7 @@
         Listener(self._loop, host, port, self._accept)
 
     def _accept(self, sock):
-        self._gateway.adopt(CallerConnection(self._loop, sock, self))
+        self._gateway.adopt(_SearchConnection(self._loop, sock, self))
 
     def begin(self, request):
         """Run a search that was read whole."""
@@ -105,6 +127,12 @@
         self._exchanges[query] = exchange
         self._find_pool(address).send(exchange)
 
+    def confirm(self, query):
+        """Tell the node that accepted a search that it alone runs it."""
+        exchange = self._exchanges.get(query)
+        if exchange is not None:
+            exchange.add(CONFIRMATION)
+
     def take_back(self, query):
         """Close the connection of a search, which cancels it."""
         exchange = self._exchanges.pop(query, None)
--- a/src/heatherpick/_net/upstreams.py
+++ b/src/heatherpick/_net/upstreams.py
@@ -139,6 +139,11 @@
         self.connection = None
         self.pool = None
 
+    def add(self, data):
+        """Send more behind the request while its answer is awaited."""
+        if self.connection is not None:
+            self.connection.write(data)
+
     def finish(self, answer, was_sent, reason):
         """Tell the outcome once."""
         done, self.done = self.done, None
--- a/src/heatherpick/_serving/effects.py
+++ b/src/heatherpick/_serving/effects.py
@@ -5,6 +5,7 @@
 __all__ = [
     "Accept",
     "CancelLeg",
+    "Confirm",
     "Decline",
     "Forward",
     "HandOver",
@@ -59,6 +60,13 @@
     patience_ms: int
 
 
+@dataclass(frozen=True, slots=True)
+class Confirm:
+    """Tell the node that accepted a search that it is not served here."""
+
+    query: object
+
+
 @dataclass(frozen=True, slots=True)
 class TakeBack:
     """Close the connection on which a search was handed over, which cancels it."""
--- a/src/heatherpick/_serving/events.py
+++ b/src/heatherpick/_serving/events.py
@@ -7,6 +7,7 @@
     "CallerLeft",
     "HandOverAccepted",
     "HandOverAnswered",
+    "HandOverConfirmed",
     "HandOverFailed",
     "LegAnswered",
     "LegFailed",
@@ -58,6 +59,13 @@
     query: object
 
 
+@dataclass(frozen=True, slots=True)
+class HandOverConfirmed:
+    """The node that handed a search over here knows that it runs here only."""
+
+    query: object
+
+
 @dataclass(frozen=True, slots=True)
 class HandOverAnswered:
     """The node that was offered a search answered whole.
--- a/src/heatherpick/_serving/handovers.py
+++ b/src/heatherpick/_serving/handovers.py
@@ -1,8 +1,10 @@
 """Searches that an aggregator runs for this node, from offer to answer.
 
-An aggregator accepts a search before it sends any leg. Until then the search may be
-taken back and served here; afterwards its legs may have run, and serving it again would
-ask more upstreams than its route allows.
+An aggregator accepts a search before it sends any leg. Until the acceptance is seen, the
+search may be taken back and served here; afterwards it is served there only, which is
+confirmed. An acceptance may be lost or late, so that both serve a search for a moment: an
+aggregator without the confirmation asks one upstream of a shard and leaves the rest of
+those that the route allows to the other node.
 """
 
 from heatherpick._serving import effects as fx
@@ -13,6 +15,9 @@
 #: seconds. Both ends are a few milliseconds apart, unless one stands still.
 ACCEPT_SHARE = 0.2
 MAX_ACCEPT_S = 0.03
+#: Upstreams that a shard must be allowed for its search to be handed over: one for an
+#: aggregator that says nothing but has begun, and one for this node.
+LEAST_UPSTREAMS = 2
 
 
 class HandOvers:
@@ -38,6 +43,8 @@
 
     def offer(self, query, now, effects):
         """Offer a search to an aggregator; return whether there is one."""
+        if query.route.n_upstreams < LEAST_UPSTREAMS:
+            return False
         address = self._aggregators.choose(now)
         if address is None:
             return False
@@ -54,6 +61,7 @@
         query = event.query
         if not query.has_ended:
             query.accept_by = None
+            effects.append(fx.Confirm(query))
             effects.append(fx.Wake(query, query.ends))
 
     def take_answer(self, event, now, effects):
--- a/src/heatherpick/_serving/legs.py
+++ b/src/heatherpick/_serving/legs.py
@@ -136,7 +136,7 @@
         )
         may_ask_again = (
             not is_too_late
-            and len(shard.ran_on) < query.n_upstreams
+            and (query.may_widen or len(shard.ran_on) < query.n_upstreams)
             and shard.n_sent < MAX_SENDS
             and self._directory.list_usable(shard.service)
         )
@@ -160,7 +160,7 @@
             leg.is_late = True
             leg.upstream.avoid(now)
             query.n_hedges += 1
-        elif len(shard.list_asked()) >= query.n_upstreams:
+        elif not query.may_widen and len(shard.list_asked()) >= query.n_upstreams:
             leg.is_late = True
 
     def _compute_late_at(self, query, leg):
--- a/src/heatherpick/_serving/queries.py
+++ b/src/heatherpick/_serving/queries.py
@@ -134,6 +134,8 @@
         Whether the caller has its answer or has left.
     is_for_peer : bool
         Whether another node handed the search over to this one.
+    is_confirmed : bool
+        Whether that node is known to have seen the acceptance.
     aggregator : str or None
         Search address of the node that was offered the search.
     was_silent : bool
@@ -151,6 +153,7 @@
         "ends",
         "exchange",
         "has_ended",
+        "is_confirmed",
         "is_for_peer",
         "n_done",
         "n_hedges",
@@ -182,6 +185,7 @@
         self.n_retries = 0
         self.has_ended = False
         self.is_for_peer = False
+        self.is_confirmed = False
         self.pace = None
         self.was_silent = False
         self.aggregator = None
@@ -191,13 +195,21 @@
     def n_upstreams(self):
         """Most upstreams that this node may ask for one shard.
 
-        An aggregator that said nothing may have begun the search, so that one of the
-        upstreams that the route allows is left to it.
+        A node that does not see the acceptance of an aggregator serves the search
+        itself, while the aggregator may run it too. Until it hears that its acceptance
+        was seen, the aggregator asks one upstream, and that one is left to it.
         """
+        if self.may_widen:
+            return 1
         if self.was_silent:
-            return max(1, self.route.n_upstreams - 1)
+            return self.route.n_upstreams - 1
         return self.route.n_upstreams
 
+    @property
+    def may_widen(self):
+        """Whether more upstreams may be asked once the acceptance was seen."""
+        return self.is_for_peer and not self.is_confirmed
+
     @property
     def is_accepted(self):
         """Whether an aggregator runs the search."""
--- a/src/heatherpick/_serving/requests.py
+++ b/src/heatherpick/_serving/requests.py
@@ -83,6 +83,7 @@
             ev.QueryDue: self._advance,
             ev.AnswerWritten: self._ends.learn_answer_cost,
             ev.HandOverAccepted: self._hand_overs.take_acceptance,
+            ev.HandOverConfirmed: self._confirm,
             ev.HandOverAnswered: self._hand_overs.take_answer,
             ev.HandOverFailed: self._hand_overs.take_failure,
         }
@@ -185,6 +186,13 @@
         effects.append(fx.Decline(event.exchange, reason))
         return False
 
+    def _confirm(self, event, now, effects):
+        """Ask as many upstreams as the route allows from now on."""
+        query = event.query
+        query.is_confirmed = True
+        if not query.has_ended:
+            self._legs.wake(query, now, effects)
+
     def _serve(self, query, now, effects):
         """Send the first legs of a request."""
         route_pace = self._find_pace(query.route)
--- a/tests/direct/test_aggregators.py
+++ b/tests/direct/test_aggregators.py
@@ -40,6 +40,7 @@
         entries = [make_entry(f"{s}-{k}", s) for s in services for k in "xy"]
         entries += [make_entry(f"desk-{k}", "desk") for k in "xy"]
         super().__init__(routes, entries, **fields)
+        self.confirmed = []
         self.reducer.know_nodes(list_fleet())
 
     def take(self, kind):
@@ -52,6 +53,7 @@
         (offer,) = self.take(fx.HandOver)
         if accepts:
             self.feed(ev.HandOverAccepted(offer.query))
+            self.confirmed += [each.query for each in self.take(fx.Confirm)]
         return offer
 
 
@@ -180,6 +182,70 @@
     assert fx.HandOver not in order
 
 
+def test_acceptance_that_was_seen_is_confirmed(player):
+    query = player.hand_over().query
+    assert player.confirmed == [query]
+
+
+def test_acceptance_that_comes_after_the_caller_left_is_not_confirmed(player):
+    query = player.hand_over(accepts=False).query
+    player.feed(ev.CallerLeft(query))
+    player.feed(ev.HandOverAccepted(query))
+    assert player.take(fx.Confirm) == []
+
+
+@pytest.mark.parametrize("n_upstreams", [2, 3])
+@pytest.mark.parametrize("is_confirmed", [False, True])
+def test_both_nodes_together_ask_no_more_upstreams_than_the_route_allows(
+    n_upstreams, is_confirmed
+):
+    """The aggregator begins, and the other node never sees its acceptance."""
+    services = ["part-0"]
+    routes = [make_any_route("find", services, n_upstreams=n_upstreams)]
+    entries = [make_entry(f"part-0-{k}", "part-0") for k in "vwxyz"]
+
+    def play(has_peer):
+        player = Player(routes, entries)
+        if has_peer:
+            offer_to(player)
+            if is_confirmed:
+                player.feed(ev.HandOverConfirmed(player.sent[0].leg.query))
+        else:
+            player.reducer.know_nodes(list_fleet())
+            player.ask()
+            player.pass_time(MAX_ACCEPT_S * 1000.0)
+        # Every leg fails, so that as many upstreams are asked as may be.
+        for _ in range(40):
+            for leg in list(player.legs):
+                player.feed(ev.LegFailed(leg, True, "reset"))
+            player.pass_time(5.0)
+        return len(player.sent)
+
+    at_aggregator = play(has_peer=True)
+    if is_confirmed:
+        assert at_aggregator == n_upstreams
+    else:
+        assert at_aggregator >= 1
+        assert at_aggregator + play(has_peer=False) <= n_upstreams
+
+
+def test_aggregator_hedges_once_its_acceptance_was_seen(player):
+    offer_to(player)
+    player.pass_time(60.0)
+    assert len(player.sent) == 4
+    player.feed(ev.HandOverConfirmed(player.sent[0].leg.query))
+    player.pass_time(20.0)
+    assert len(player.sent) == 8
+
+
+def test_search_whose_shards_may_ask_one_upstream_only_is_not_handed_over():
+    routes = [make_any_route("find", ["part-0"], n_upstreams=1)]
+    player = Player(routes, [make_entry("part-0-x", "part-0")])
+    player.reducer.know_nodes(list_fleet())
+    player.ask()
+    assert len(player.sent) == 1
+
+
 def test_aggregator_counts_the_time_that_the_other_node_had_the_search(player):
     offer_to(player, age_ms=20.0)
     assert player.sent[0].patience_ms <= 400
@@ -296,6 +362,22 @@
     assert (at_wide["outcome"], at_wide["for_peer"]) == ("complete", True)
 
 
+def test_confirmation_reaches_the_aggregator_and_leaves_the_connection_sound(site):
+    wait_for_nodes(site)
+    confirmed = []
+    reducer = site.nodes[0]._reducer
+    reduce = reducer.reduce
+    reducer.reduce = lambda event, now: (
+        confirmed.append(type(event)) or reduce(event, now)
+    )
+    for n in range(3):
+        assert search(site, f"r{n}").read_answer()[0] == 200
+        site.run_for(0.05)
+    assert confirmed.count(ev.HandOverConfirmed) == 3
+    pools = site.nodes[1]._gateway._searches._pools
+    assert [each.n_opened for each in pools.values()] == [1]
+
+
 def test_caller_cannot_pose_as_another_node(site):
     caller = site.call(site.nodes[0])
     extra = ["X-Heatherpick-Routes: 99", "X-Heatherpick-Age-Us: 1"]
