One plan of who follows the store: relays, stand-ins and paced questions

A node that was asked became a relay, one whose relays failed asked the next, and one that heard nothing followed the store itself, four kinds at once: beside a store that is away, all 195 nodes called it. Each start cost four listings and two writes.

Ruled out: relays a data centre (a fleet of 195 has four relays; those near are asked first); a tree or a store of the nodes' own; all nodes ask with jitter (195 nodes at the bound of 5 s are 40 calls a second in calm).

Change: relays are the first of the shared ranking, one for 64 nodes, and being asked changes nothing. Answers name the nodes that hear the store, with ages that are counted from the question, so that words are passed on by any node and never look younger than they are. A node that finds no relay that hears the store asks any peer, and puts one question to the store at a pace of 16 a second for the whole fleet. Whoever is answered stands in until a relay, or two stand-ins before it, are heard. A relay that loses the store asks one question at a time. A node that starts again finds its entry in the list and writes nothing.

--- a/src/heatherpick/_net/documents.py
+++ b/src/heatherpick/_net/documents.py
@@ -11,8 +11,6 @@
     StoredObject,
     StoreFailure,
 )
-from heatherpick._net.probes import PageServer
-from heatherpick._net.upstreams import ConnectionPool, Exchange
 
 __all__ = ["DocumentKeeper"]
 
@@ -30,22 +28,77 @@
 #: Time after which a watch without an answer is asked anew if the store has changed
 #: meanwhile, in seconds: news of one kind must not hide those of another.
 SILENT_S = 8.0
-#: Longest wait for a connection to a relay, in seconds.
-RELAY_CONNECT_S = 0.4
 #: Time from the start until a node looks for relays, in seconds. Nodes that start
 #: together have written where they are by then.
 SETTLE_S = 1.5
-#: Time for which a node that starts waits for its seeds before it asks the store, in
-#: seconds.
-SEEDS_S = 0.5
+#: Peers that a node asks at a time while it hears of the store from nobody.
+MAX_POLLS = 3
 #: Level of compression: links of small VMs are narrow and declarations repetitive.
 ZLIB_LEVEL = 3
-#: Stands for a word from the store of which nobody knows how old it is, in seconds.
-UNKNOWN_AGE_S = 1e6
 #: Largest words of a relay once unpacked, in bytes: thousands of upstreams and nodes
 #: and declarations of a megabyte.
 MAX_NEWS_BYTES = 16 * 1024 * 1024
 PATH = b"/changes"
+#: Fields of a question between nodes: who asks, and whether it hears of the store.
+FROM = "from"
+HAS_WORD = "has-word"
+#: Headers of the answer: nodes that have heard the store, each with the age of its word
+#: when the question came, in seconds, below 0 if it is newer; and whether the store was
+#: out of reach a short while ago.
+SOURCES_HEADER = b"x-heatherpick-store-heard"
+AWAY_HEADER = b"x-heatherpick-store-away"
+
+
+class _StorePace:
+    """Paces the calls of a node to a store that does not answer it.
+
+    However many followers have failed, the node asks one small question at a time, at a
+    pause that grows; once the store answers, all followers go on.
+
+    Parameters
+    ----------
+    keeper : DocumentKeeper
+        The node's copies.
+    """
+
+    def __init__(self, keeper):
+        self._keeper = keeper
+        self._failed = []
+        self._timer = None
+        self._n_failures = 0
+
+    @property
+    def is_lost(self):
+        """Whether the store did not answer the newest call."""
+        return self._n_failures > 0
+
+    def note_answer(self):
+        """Let all followers go on."""
+        self.stop()
+        failed, self._failed = self._failed, []
+        for follower in failed:
+            follower.go_on()
+
+    def note_failure(self, follower=None):
+        """Ask again after a pause, and let a follower wait for the answer."""
+        if follower is not None and follower not in self._failed:
+            self._failed.append(follower)
+        if self._timer is None:
+            pause_s = min(MAX_PAUSE_S, FIRST_PAUSE_S * 2**self._n_failures)
+            pause_s *= 0.5 + self._keeper.rng.random()
+            self._n_failures = min(self._n_failures + 1, 8)
+            self._timer = self._keeper.loop.call_later(pause_s, self._try_again)
+
+    def stop(self):
+        """Ask no more."""
+        self._n_failures = 0
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+    def _try_again(self):
+        self._timer = None
+        self._keeper.probe_store()
 
 
 class _StoreFollower:
@@ -56,20 +109,9 @@
         self._copy = copy
         self._cancel = None
         self._timer = None
-        self._n_failures = 0
         self._asked_at = 0.0
         self.is_wanted = False
 
-    @property
-    def is_empty(self):
-        """Whether there is no listing yet."""
-        return self._copy.revision is None
-
-    @property
-    def is_failing(self):
-        """Whether the last call to the store failed."""
-        return self._n_failures > 0
-
     def is_behind(self, revision, now):
         """Return whether a watch has been silent for long while the store changed."""
         return (
@@ -80,10 +122,9 @@
 
     def start(self):
         """Follow the store from now on."""
-        if self.is_wanted:
-            return
-        self.is_wanted = True
-        self._go_on()
+        if not self.is_wanted:
+            self.is_wanted = True
+            self.go_on()
 
     def stop(self):
         """Follow the store no more."""
@@ -93,8 +134,7 @@
     def restart(self):
         """Ask again, as the present call may never be answered."""
         self._give_up()
-        if self.is_wanted:
-            self._go_on()
+        self.go_on()
 
     def _give_up(self):
         if self._cancel is not None:
@@ -104,10 +144,16 @@
             self._timer.cancel()
             self._timer = None
 
-    def _go_on(self):
+    def go_on(self):
+        """Ask the store unless it is being asked; return whether it is."""
         self._timer = None
-        if not self.is_wanted and self._copy.revision is not None:
-            return
+        if not self.is_wanted:
+            return False
+        if self._cancel is None:
+            self._ask()
+        return True
+
+    def _ask(self):
         store = self._keeper.store
         self._asked_at = self._keeper.loop.seconds()
         if self._copy.revision is None:
@@ -117,25 +163,17 @@
                 self._copy.kind, self._copy.revision, self._take
             )
 
-    def list_once(self):
-        """Fetch the first listing whether or not the store is followed after it."""
-        if self._cancel is None and self._timer is None:
-            self._go_on()
-
     def _take(self, result):
         self._cancel = None
         if type(result) is StoreFailure:
-            self._fail(result)
+            self._keeper.lose_store(result.reason, self)
             return
-        if self._n_failures:
-            self._n_failures = 0
-            self._report("store regained")
         self._keeper.note_store()
-        pause_s = 0.0
         if type(result) is HistoryGone:
             self._report("history of the store is gone")
             self._cancel = self._keeper.store.list_objects(self._copy.kind, self._take)
             return
+        pause_s = 0.0
         if type(result) is Listing:
             self._copy.take_listing(result)
         else:
@@ -143,17 +181,8 @@
             self._copy.take_changes(changes, result.revision)
             pause_s = GATHER_S if changes else 0.0
         self._keeper.announce()
-        if self.is_wanted:
-            self._timer = self._keeper.loop.call_later(pause_s, self._go_on)
-
-    def _fail(self, failure):
-        if not self._n_failures:
-            self._report("store lost", reason=failure.reason)
-        self._keeper.note_store_away()
-        pause_s = min(MAX_PAUSE_S, FIRST_PAUSE_S * 2**self._n_failures)
-        self._n_failures = min(self._n_failures + 1, 8)
-        pause_s *= 0.5 + self._keeper.rng.random()
-        self._timer = self._keeper.loop.call_later(pause_s, self._go_on)
+        if self.is_wanted and self._timer is None:
+            self._timer = self._keeper.loop.call_later(pause_s, self.go_on)
 
     def _report(self, message, **fields):
         self._keeper.report(
@@ -170,6 +199,8 @@
         Runs everything.
     store : SharedStore
         The platform's store.
+    peers : Peers
+        Asks other nodes.
     copies : list of SharedCopy
         What to keep.
     plan : RelayPlan
@@ -180,92 +211,131 @@
         ``report(message, **fields)`` writes to the log.
     rng : random.Random
         Spreads the retries of many nodes.
+    own : str
+        Address at which peers ask this node.
     """
 
-    def __init__(self, loop, store, copies, plan, freshness, report, rng):
+    def __init__(self, loop, store, peers, copies, plan, freshness, report, rng, own):
         self.loop = loop
         self.store = store
+        self._peers = peers
         self.report = report
         self.rng = rng
+        self.pace = _StorePace(self)
+        self._own = own
         self._copies = {copy.kind: copy for copy in copies}
         self._plan = plan
         self._freshness = freshness
         self._followers = [_StoreFollower(self, copy) for copy in copies]
-        self._heard_store_at = None
         #: Called with the time of each answer of the store, to this node or a relay.
         self.heard_store = lambda now: None
         self._away_at = float("-inf")
+        # The same of the node that told what this one is taking in.
+        self._is_told_away = False
+        self._told_away_at = float("-inf")
+        self._is_probing = False
         self._is_asking_revision = False
-        self._polls = {}
-        self._pools = {}
+        self._polls = set()
         self._waiting = {}
         self._was_following = None
         self._encoded = None
 
     def start(self, host, port):
         """Fetch everything once, and serve peers at an address."""
-        PageServer(self.loop, {}, self.begin, self.abandon).listen(host, port)
-        if self._plan.seeds:
-            for address in self._plan.seeds:
-                self._poll(address)
-            self.loop.call_later(SEEDS_S, self._list_missing)
-        else:
-            self._list_missing()
-        self.loop.call_later(SETTLE_S * (1.0 + 0.2 * self.rng.random()), self._look)
+        self._peers.listen(host, port, self.begin, self.abandon)
+        self._look()
+        self.loop.call_later(
+            SETTLE_S * (1.0 + 0.2 * self.rng.random()), self._plan.settle
+        )
         self.loop.call_later(SETTLE_S, self._ask_revision)
 
     def was_store_away(self):
         """Return whether entries may have lapsed because the store was out of reach.
 
-        Only this node's own calls count: a relay that cannot reach the store says
-        nothing about the entries that another one has seen go.
+        What counts is whom this node hears it from: a relay that cannot reach the store
+        says nothing about the entries that another one has seen go.
         """
-        return self.loop.seconds() - self._away_at < AWAY_S
-
-    def note_store_away(self):
-        """Take note that the store is out of reach, and tell peers that wait."""
-        self._away_at = self.loop.seconds()
-        for request, (known, timer) in list(self._waiting.items()):
-            timer.cancel()
-            self._tell(request, known)
-
-    def _list_missing(self):
-        for follower in self._followers:
-            if follower.is_empty:
-                follower.list_once()
+        return self._is_told_away or self.loop.seconds() - self._away_at < AWAY_S
 
     def note_store(self):
         """Take note that the store has answered."""
-        self._heard_store_at = self.loop.seconds()
-        self.heard_store(self._heard_store_at)
+        now = self.loop.seconds()
+        was_searching = self._plan.is_searching(now)
+        if self._plan.is_alone(now):
+            self._away_at = now
+        if self.pace.is_lost:
+            self.report("store regained")
+        self._plan.note_store(now)
+        self.pace.note_answer()
+        self.heard_store(now)
+        if was_searching:
+            self._tell_all()
+
+    def lose_store(self, reason, follower=None):
+        """Take note that the store is out of reach, and tell peers that wait."""
+        self._away_at = self.loop.seconds()
+        if not self.pace.is_lost:
+            self.report("store lost", reason=reason)
+            self._plan.note_store_lost()
+            self._tell_all()
+        if self._plan.follows_store:
+            self.pace.note_failure(follower)
 
     # The store
 
     def _look(self):
         self.loop.call_later(LOOK_S, self._look)
         now = self.loop.seconds()
-        for address in self._plan.choose_relays(now):
-            if address not in self._polls:
-                self._poll(address)
-        follows = self._plan.follows_store(now)
-        if follows != self._was_following:
-            self._was_following = follows
-            self.report("follows the store" if follows else "follows relays")
+        self._ask_relays(now)
+        if len(self._polls) < MAX_POLLS:
+            peer = self._plan.choose_peer(now)
+            if peer is not None and peer not in self._polls:
+                self._poll(peer)
+        self._follow()
+        if self._plan.is_probe_due(now):
+            self.probe_store()
+
+    def _follow(self):
+        """Follow the store or relays, as the plan says."""
+        follows = self._plan.follows_store
+        if follows == self._was_following:
+            return
+        self._was_following = follows
+        self.report("follows the store" if follows else "follows relays")
         for follower in self._followers:
             if follows:
                 follower.start()
-            elif follower.is_wanted:
+            else:
                 follower.stop()
+        if not follows:
+            self.pace.stop()
+
+    def probe_store(self):
+        """Find out whether the store answers this node."""
+        if not self._is_probing:
+            self._is_probing = True
+            self.store.read_revision(self._take_probe)
+
+    def _take_probe(self, revision):
+        self._is_probing = False
+        if type(revision) is StoreFailure:
+            self.lose_store(revision.reason)
+            return
+        self.note_store()
+        self._follow()
 
     def _ask_revision(self):
         self.loop.call_later(self._freshness.revision_s, self._ask_revision)
-        if self._was_following and not self._is_asking_revision:
+        is_due = self._was_following and not self.pace.is_lost
+        if is_due and not self._is_asking_revision:
             self._is_asking_revision = True
             self.store.read_revision(self._take_revision)
 
     def _take_revision(self, revision):
         self._is_asking_revision = False
         if type(revision) is StoreFailure:
+            # Watches that wait would hide for long that the store is lost.
+            self.lose_store(revision.reason)
             return
         self.note_store()
         self.loop.call_later(
@@ -285,62 +355,60 @@
     # Asking relays
 
     def _poll(self, address):
-        pool = self._pools.get(address)
-        if pool is None:
-            host, _, port = address.rpartition(":")
-            pool = self._pools[address] = ConnectionPool(
-                self.loop, host, int(port), 1, RELAY_CONNECT_S
-            )
-        known = "&".join(
+        now = self.loop.seconds()
+        target = "&".join(
             f"{kind}={copy.revision or 0}" for kind, copy in self._copies.items()
         )
-        data = b"GET %s?%s HTTP/1.1\r\nHost: %s\r\n\r\n" % (
-            PATH,
-            known.encode(),
-            address.encode(),
-        )
-        exchange = Exchange(data, self._take_poll, context=address)
-        timer = self.loop.call_later(
-            self._freshness.poll_timeout_s, self._miss, address
+        target += f"&{FROM}={self._own}"
+        if not self._plan.needs_word(address, now):
+            target += f"&{HAS_WORD}=1"
+        self._polls.add(address)
+        self._peers.ask(
+            address,
+            b"%s?%s" % (PATH, target.encode()),
+            self._freshness.poll_timeout_s,
+            lambda answer, reason: self._take_poll(address, now, answer, reason),
         )
-        self._polls[address] = exchange, timer
-        pool.send(exchange)
-
-    def _miss(self, address):
-        exchange, _ = self._polls.pop(address)
-        exchange.cancel()
-        self._fail_poll(address, "timeout")
-
-    def _take_poll(self, exchange, answer, _was_sent, reason):
-        address = exchange.context
-        _, timer = self._polls.pop(address)
-        timer.cancel()
+
+    def _take_poll(self, address, asked_at, answer, reason):
+        self._polls.discard(address)
         if answer is None or answer.status != 200:
-            self._fail_poll(address, reason or f"status {answer.status}")
+            is_silent = answer is None and reason.endswith("timeout")
+            reason = reason or f"status {answer.status}"
+            self._fail_poll(address, reason, is_silent)
             return
         try:
-            document = _decode_news(answer.body)
-            age_s = float(document["age_s"])
-            for kind, news in document["kinds"].items():
+            sources = _read_sources(answer.by_name, asked_at)
+            self._is_told_away = AWAY_HEADER in answer.by_name
+            for kind, news in _decode_news(answer.body).items():
                 self._take_news(kind, news)
         except (ValueError, KeyError, TypeError, zlib.error) as error:
-            self._fail_poll(address, f"not understood: {error!r}")
+            self._fail_poll(address, f"not understood: {error!r}", is_silent=True)
             return
+        finally:
+            if self._is_told_away:
+                self._told_away_at = self.loop.seconds()
+                self._is_told_away = False
         now = self.loop.seconds()
-        self._plan.note_answer(address, age_s, now)
-        if age_s <= self._freshness.alone_s:
+        was_searching = self._plan.is_searching(now)
+        self._plan.note_answer(address, sources, now)
+        if sources:
             # A node that counts as cut off gets no requests, and must hear otherwise.
-            self.heard_store(now - age_s)
-        if address in self._plan.choose_relays(now):
-            self._poll(address)
-        self.announce()
-
-    def _fail_poll(self, address, reason):
-        if self._was_following is None:
-            # Nodes that start together do not answer each other yet.
-            return
+            self.heard_store(max(sources.values()))
+        self._ask_relays(now)
+        if was_searching and not self._plan.is_searching(now):
+            self._tell_all()
+        else:
+            self.announce()
+
+    def _ask_relays(self, now):
+        for address in self._plan.choose_relays(now):
+            if address not in self._polls:
+                self._poll(address)
+
+    def _fail_poll(self, address, reason, is_silent):
         self.report("relay lost", relay=address, reason=reason)
-        self._plan.note_failure(address, self.loop.seconds())
+        self._plan.note_failure(address, self.loop.seconds(), is_silent)
 
     def _take_news(self, kind, news):
         copy = self._copies.get(kind)
@@ -360,20 +428,22 @@
 
     def begin(self, request):
         """Answer a peer once there is news, or after a while."""
-        if any(follower.is_empty for follower in self._followers):
-            # A peer that knows nothing either: whoever is asked fetches for both.
-            self._list_missing()
-        self._plan.note_asked(self.loop.seconds())
-        known = {}
-        for pair in request.target.partition(b"?")[2].split(b"&"):
-            kind, _, revision = pair.partition(b"=")
-            if revision.isdigit():
-                known[kind.decode("latin-1")] = int(revision)
-        if self._has_news(known):
-            self._tell(request, known)
+        asked = _parse_question(request.target)
+        self._plan.note_asked(asked.pop(FROM, None))
+        has_word = asked.pop(HAS_WORD, 0)
+        now = self.loop.seconds()
+        if has_word:
+            # It hears of the store elsewhere and is better told at once to stay there.
+            is_urgent = not self._plan.is_source
+        else:
+            is_urgent = self._plan.compute_age(now) is not None
+        if is_urgent or self._has_news(asked):
+            self._tell(request, asked, now)
             return
-        timer = self.loop.call_later(self._freshness.poll_s, self._tell, request, known)
-        self._waiting[request] = known, timer
+        timer = self.loop.call_later(
+            self._freshness.poll_s, self._tell, request, asked, now
+        )
+        self._waiting[request] = asked, timer, now
 
     def abandon(self, request):
         """Take note that a peer has left."""
@@ -383,10 +453,16 @@
 
     def announce(self):
         """Answer the peers for whom there is news."""
-        for request, (known, timer) in list(self._waiting.items()):
+        for request, (known, timer, asked_at) in list(self._waiting.items()):
             if self._has_news(known):
                 timer.cancel()
-                self._tell(request, known)
+                self._tell(request, known, asked_at)
+
+    def _tell_all(self):
+        """Answer all peers that wait, as there is news of the store itself."""
+        for request, (known, timer, asked_at) in list(self._waiting.items()):
+            timer.cancel()
+            self._tell(request, known, asked_at)
 
     def _has_news(self, known):
         # Revisions rise with every call; only changes are worth an early answer.
@@ -398,32 +474,35 @@
                 return True
         return False
 
-    def _tell(self, request, known):
+    def _tell(self, request, known, asked_at):
         self._waiting.pop(request, None)
         kinds = {
             kind: _format_news(copy, known.get(kind, 0))
             for kind, copy in self._copies.items()
             if copy.revision is not None and copy.revision > known.get(kind, 0)
         }
-        request.answer(200, (), self._encode(self._compute_age(), kinds, known))
-
-    def _compute_age(self):
-        """Return how old this node's word from the store is, in seconds."""
-        is_failing = any(follower.is_failing for follower in self._followers)
-        if not self._was_following or is_failing or self._heard_store_at is None:
-            # What a node has from others is of an age that it does not know.
-            return UNKNOWN_AGE_S
-        return self.loop.seconds() - self._heard_store_at
-
-    def _encode(self, age_s, kinds, known):
+        headers = []
+        now = self.loop.seconds()
+        # Ages count from the question, as the clocks of two nodes differ.
+        words = [
+            f"{address}={age_s - (now - asked_at):.3f}"
+            for address, age_s in self._plan.list_sources(now)
+        ]
+        if words:
+            headers.append((SOURCES_HEADER, ",".join(words).encode()))
+        told_s = now - self._told_away_at
+        if self.was_store_away() or told_s < AWAY_S:
+            headers.append((AWAY_HEADER, b"1"))
+        request.answer(200, headers, self._encode(kinds, known))
+
+    def _encode(self, kinds, known):
         if not kinds:
-            return zlib.compress(orjson.dumps({"age_s": age_s, "kinds": kinds}), 1)
+            return b""
         # Many peers ask for the same news at once, and then all get the same bytes.
         revisions = tuple(copy.revision for copy in self._copies.values())
-        key = (revisions, tuple(sorted(known.items())), int(age_s * 4))
+        key = revisions, tuple(sorted(known.items()))
         if self._encoded is None or self._encoded[0] != key:
-            text = orjson.dumps({"age_s": age_s, "kinds": kinds})
-            self._encoded = key, zlib.compress(text, ZLIB_LEVEL)
+            self._encoded = key, zlib.compress(orjson.dumps(kinds), ZLIB_LEVEL)
         return self._encoded[1]
 
 
@@ -442,8 +521,33 @@
 
 def _decode_news(body):
     """Unpack the words of a relay; raise ValueError for ones too large."""
+    if not body:
+        return {}
     unpacker = zlib.decompressobj()
     data = unpacker.decompress(body, MAX_NEWS_BYTES)
     if not unpacker.eof:
         raise ValueError(f"does not end within {MAX_NEWS_BYTES} bytes")
     return orjson.loads(data)
+
+
+def _read_sources(by_name, asked_at):
+    """Return the nodes that a peer knows to have heard the store, and when."""
+    sources = {}
+    for word in by_name.get(SOURCES_HEADER, b"").decode("latin-1").split(","):
+        address, _, age_s = word.partition("=")
+        if address:
+            # The peer was asked after ``asked_at``, so the word is no older than this.
+            sources[address] = asked_at - float(age_s)
+    return sources
+
+
+def _parse_question(target):
+    """Return what a peer knows by kind, its own address and whether it has word."""
+    asked = {}
+    for pair in target.decode("latin-1").partition("?")[2].split("&"):
+        name, _, value = pair.partition("=")
+        if name == FROM:
+            asked[name] = value
+        elif value.isdigit():
+            asked[name] = int(value)
+    return asked
--- a/src/heatherpick/_net/gateway.py
+++ b/src/heatherpick/_net/gateway.py
@@ -260,7 +260,9 @@
             request.method != b"HEAD",
             leg,
             self._note_left,
-            max_body_bytes=MAX_PART_BYTES if query.route.is_gather else MAX_ANSWER_BYTES,
+            max_body_bytes=MAX_PART_BYTES
+            if query.route.is_gather
+            else MAX_ANSWER_BYTES,
         )
         self._exchanges[leg] = exchange
         if not self._find_pool(entry).send(exchange):
--- a/src/heatherpick/_net/node.py
+++ b/src/heatherpick/_net/node.py
@@ -11,6 +11,7 @@
 from heatherpick._net.dialect import Dialect
 from heatherpick._net.documents import DocumentKeeper
 from heatherpick._net.gateway import Gateway
+from heatherpick._net.peers import HttpPeers
 from heatherpick._net.probes import PageServer
 from heatherpick._net.searches import SearchServer
 from heatherpick._serving.directory import Directory
@@ -25,8 +26,10 @@
 ACCEPT_AFTER_STOP_S = 2.6
 #: Part of the grace period after which a stopping node ends in any case.
 STOP_SHARE = 0.93
-#: Pause before this node's address is written again after a failure, in seconds.
+#: First and longest pause before this node's entry is written again after a failure, in
+#: seconds; each further failure doubles it.
 REGISTER_PAUSE_S = 1.0
+MAX_REGISTER_PAUSE_S = 16.0
 #: Pause between two looks at the settings, which may change without a signal, in
 #: seconds.
 SETTINGS_LOOK_S = 5.0
@@ -157,6 +160,8 @@
     """Takes in where the nodes are."""
 
     def __init__(self, plan, reducer, report):
+        #: Called once the list is known, with the entries by name.
+        self.is_listed = lambda nodes: None
         self._plan = plan
         self._reducer = reducer
         self._report = report
@@ -164,6 +169,7 @@
 
     def replace(self, objects):
         self.change(objects)
+        self.is_listed(self._nodes)
 
     def change(self, objects):
         for each in objects:
@@ -172,7 +178,7 @@
                 self._nodes.pop(each.name, None)
             else:
                 self._nodes[each.name] = node
-            self._plan.set_member(each.name, None if node is None else node.address)
+            self._plan.set_member(each.name, node)
         self._reducer.know_nodes(tuple(self._nodes.values()))
         self._report("nodes listed", n_nodes=self._plan.n_nodes)
 
@@ -222,7 +228,7 @@
         self._loop = loop
         self._log = log
         self._counters = counters
-        rng = random.Random(seed)
+        self._rng = rng = random.Random(seed)
         self._directory = Directory(settings.data_centre)
         self._reach = Reach(loop.seconds())
         self._reducer = RequestReducer(
@@ -248,12 +254,26 @@
         address = settings.peers_address
         freshness = Freshness(settings.news_s)
         plan = RelayPlan(
-            _format(address), settings.seeds, freshness.alone_s, loop.seconds()
+            _format(address),
+            settings.data_centre,
+            settings.seeds,
+            freshness.alone_s,
+            loop.seconds(),
+            rng,
         )
-        consumers[kinds.nodes] = _Nodes(plan, self._reducer, log.report)
+        nodes = consumers[kinds.nodes] = _Nodes(plan, self._reducer, log.report)
+        nodes.is_listed = self._register_unless_listed
         copies = [SharedCopy(kind, consumer) for kind, consumer in consumers.items()]
         self._keeper = DocumentKeeper(
-            loop, store, copies, plan, freshness, log.report, rng
+            loop,
+            store,
+            HttpPeers(loop),
+            copies,
+            plan,
+            freshness,
+            log.report,
+            rng,
+            _format(address),
         )
         upstreams.was_store_away = self._keeper.was_store_away
         self._keeper.heard_store = self._reach.note_contact
@@ -290,14 +310,13 @@
             PageServer(self._loop, pages).listen(*settings.metrics_address)
         SearchServer(self._loop, self._gateway).listen(*settings.search_address)
         self._keeper.start(*settings.peers_address)
-        self._register()
         self._loop.take_signal(signal.SIGTERM, self.begin_stop)
         self._loop.take_signal(signal.SIGHUP, self.reload)
         self._loop.call_later(SETTINGS_LOOK_S, self._look_at_settings)
         self._log.report("started", data_centre=settings.data_centre)
 
-    def _register(self):
-        """Write down where and what this node is, for its peers."""
+    def _register_unless_listed(self, nodes):
+        """Write down what this node is, unless it was here before it started again."""
         settings = self._settings
         entry = NodeEntry(
             _format(settings.peers_address),
@@ -305,15 +324,25 @@
             settings.data_centre,
             settings.link_mbps,
         )
+        if nodes.get(settings.node) != entry:
+            self._register(entry, REGISTER_PAUSE_S)
+
+    def _register(self, entry, pause_s):
+        def take(failure):
+            if type(failure) is StoreFailure:
+                self._log.report("not registered yet", reason=failure.reason)
+                longer_s = min(MAX_REGISTER_PAUSE_S, 2.0 * pause_s)
+                self._loop.call_later(
+                    pause_s * (0.5 + self._rng.random()),
+                    self._register,
+                    entry,
+                    longer_s,
+                )
+
         self._store.put_object(
-            self._kinds.nodes, settings.node, entry.to_value(), self._take_registration
+            self._kinds.nodes, self._settings.node, entry.to_value(), take
         )
 
-    def _take_registration(self, failure):
-        if type(failure) is StoreFailure:
-            self._log.report("not registered yet", reason=failure.reason)
-            self._loop.call_later(REGISTER_PAUSE_S, self._register)
-
     def reload(self):
         """Read the settings again and use what may change while the node runs."""
         try:
--- a/src/heatherpick/_net/upstreams.py
+++ b/src/heatherpick/_net/upstreams.py
@@ -263,7 +263,9 @@
         n_framing = self._n_read - self._n_body
         most = MAX_FRAMING_BYTES + MAX_FRAMING_SHARE * self._n_body
         if n_framing > most and self._exchange is not None:
-            self.break_off(f"{n_framing} bytes beside the body, at most {most} are read")
+            self.break_off(
+                f"{n_framing} bytes beside the body, at most {most} are read"
+            )
 
     def lost(self, reason, was_clean):
         """End the exchange; without a length, a clean end completes the answer."""
--- a/tests/direct/site.py
+++ b/tests/direct/site.py
@@ -26,8 +26,8 @@
 
 #: Most that the site's time moves on between two looks at it, in seconds. A process
 #: that stands still stops all of the site, and must not age what one part awaits of
-#: another.
-MAX_STEP_S = 0.05
+#: another: an offered search, the shortest, has 30 ms.
+MAX_STEP_S = 0.01
 
 
 class PacedLoop(EventLoop):
--- a/tests/direct/test_fleet.py
+++ b/tests/direct/test_fleet.py
@@ -13,11 +13,10 @@
     StoredObject,
 )
 from heatherpick._fleet.freshness import Freshness
-from heatherpick._fleet.relays import ASKED_S, AVOID_S, RelayPlan
+from heatherpick._fleet.nodes import NodeEntry
+from heatherpick._fleet.relays import AVOID_S, SILENT_AVOID_S, RelayPlan
 from heatherpick._serving.extras import FLOWING_PART, SAVED_PART, SHARE_USED, ExtraLegs
 
-ADDRESSES = tuple(f"10.0.0.{n}:7000" for n in range(1, 13))
-
 
 class Consumer:
     def __init__(self):
@@ -138,69 +137,198 @@
     assert fresh.revision_s + fresh.poll_s < fresh.alone_s
 
 
-def make_plan(address, addresses=ADDRESSES, now=0.0):
-    plan = RelayPlan(address, addresses[:3], FRESHNESS.alone_s, now)
-    for each in addresses:
-        plan.set_member(each, each)
+def make_nodes(n_nodes, n_data_centres=4):
+    return [
+        NodeEntry(f"10.0.{n // 200}.{n % 200}:7000", "", f"dc-{n % n_data_centres}")
+        for n in range(n_nodes)
+    ]
+
+
+NODES = make_nodes(12)
+
+
+def make_plan(node, nodes=NODES, now=0.0, seed=7):
+    seeds = [each.address for each in nodes[:3]]
+    plan = RelayPlan(
+        node.address,
+        node.data_centre,
+        seeds,
+        FRESHNESS.alone_s,
+        now,
+        random.Random(f"{seed} {node.address}"),
+    )
+    for each in nodes:
+        plan.set_member(each.address, each)
+    plan.settle()
     return plan
 
 
+def find_other(nodes=NODES):
+    """Return a node that is no relay."""
+    return next(node for node in nodes if not make_plan(node, nodes).is_relay)
+
+
 def test_all_nodes_with_the_same_list_choose_the_same_two_relays():
-    relays = [a for a in ADDRESSES if make_plan(a).is_relay(0.0)]
+    relays = [node.address for node in NODES if make_plan(node).is_relay]
     assert len(relays) == 2
-    for address in ADDRESSES:
-        asked = make_plan(address).choose_relays(0.0)
-        assert set(asked) == set(relays) - {address}
+    for node in NODES:
+        asked = make_plan(node).choose_relays(0.0)
+        assert set(asked) == set(relays) - {node.address}
 
 
 def test_large_fleet_spreads_its_nodes_over_more_relays():
-    addresses = tuple(f"10.0.{n // 200}.{n % 200}:7000" for n in range(1400))
-    plans = [make_plan(address, addresses) for address in addresses[:200]]
+    nodes = make_nodes(1400, 15)
+    plans = [make_plan(node, nodes) for node in nodes[:300]]
     asked = [each for plan in plans for each in plan.choose_relays(0.0)]
-    assert len(set(asked)) > 30
-    assert max(asked.count(each) for each in set(asked)) < 40
+    assert len(set(asked)) == 22
+    assert max(asked.count(each) for each in set(asked)) < 5 * len(asked) / 22
 
 
-def test_relay_that_fails_is_replaced_by_the_next_and_tried_again_later():
-    plan = make_plan(ADDRESSES[0])
-    first = plan.choose_relays(0.0)
-    for each in first:
-        plan.note_failure(each, 0.0)
-    assert not set(first) & set(plan.choose_relays(0.1))
-    assert set(plan.choose_relays(AVOID_S + 0.1)) == set(first)
+def test_relay_of_the_own_data_centre_is_asked_first():
+    nodes = make_nodes(1400, 15)
+    places = {node.address: node.data_centre for node in nodes}
+    relays = set(make_plan(nodes[0], nodes)._list_relays())
+    for node in nodes[:60]:
+        near = {places[each] for each in relays - {node.address}}
+        first, _ = make_plan(node, nodes).choose_relays(0.0)
+        assert places[first] == node.data_centre or node.data_centre not in near
 
 
-def test_node_without_a_fresh_relay_follows_the_store_within_two_seconds():
-    address = next(a for a in ADDRESSES if not make_plan(a).is_relay(0.0))
-    plan = make_plan(address)
-    (one, *_) = plan.choose_relays(0.0)
-    plan.note_answer(one, 0.5, 5.0)
-    alone_at = 5.0 - 0.5 + FRESHNESS.alone_s
-    assert not plan.follows_store(alone_at - 0.1)
-    assert plan.follows_store(alone_at + 0.1)
+def test_relay_that_fails_is_passed_over_and_tried_again_later():
+    plan = make_plan(find_other())
+    first = plan.choose_relays(0.0)
+    plan.note_failure(first[0], 0.0, is_silent=True)
+    plan.note_failure(first[1], 0.0, is_silent=False)
+    assert plan.choose_relays(0.1) == []
+    assert plan.choose_relays(AVOID_S + 0.1) == [first[1]]
+    assert plan.choose_relays(SILENT_AVOID_S + 0.1) == first
 
 
-def test_relay_that_has_not_heard_the_store_lately_does_not_count():
-    address = next(a for a in ADDRESSES if not make_plan(a).is_relay(0.0))
-    plan = make_plan(address)
+def test_node_without_a_fresh_relay_asks_the_store_within_the_bound():
+    plan = make_plan(find_other())
+    (one, *_) = plan.choose_relays(0.0)
+    plan.note_answer(one, {one: 4.5}, 5.0)
+    alone_at = 4.5 + FRESHNESS.alone_s
+    assert not plan.is_probe_due(alone_at - 0.1)
+    assert plan.choose_peer(alone_at - 0.1) is None
+    now, n_steps = alone_at + 0.001, 0
+    while not plan.is_probe_due(now):
+        now, n_steps = now + 0.05, n_steps + 1
+    assert now - 4.5 < FRESHNESS.bound_s
+    assert plan.choose_peer(now) is not None
+
+
+def test_node_whose_relays_have_all_lost_the_store_does_not_wait_to_be_alone():
+    plan = make_plan(find_other())
+    now = 5.0
+    for each in plan.choose_relays(now):
+        plan.note_answer(each, {each: 4.9}, now)
+    assert plan.choose_peer(now) is None
+    for each in plan.choose_relays(now):
+        plan.note_answer(each, {}, now)
+    assert plan.choose_peer(now) is not None
+    times = [now + 0.05 * step for step in range(16)]
+    assert any(plan.is_probe_due(at) for at in times)
+    assert not plan.is_alone(now + 0.8)
+
+
+def test_node_whose_question_was_answered_stands_in_until_a_relay_is_heard():
+    plan = make_plan(find_other())
+    relay, _ = plan.choose_relays(0.0)
+    plan.note_store(10.0)
+    assert plan.follows_store
+    plan.note_answer(relay, {relay: 0.0}, 10.5)
+    assert plan.follows_store
+    plan.note_answer(relay, {relay: 10.9}, 11.0)
+    assert not plan.follows_store
+
+
+def test_node_that_loses_the_store_stands_in_no_more():
+    plan = make_plan(find_other())
+    plan.note_store(10.0)
+    plan.note_store_lost()
+    assert not plan.follows_store
+
+
+def test_two_of_many_that_stand_in_go_on():
+    others = [node for node in NODES if not make_plan(node).is_relay]
+    plans = {node.address: make_plan(node) for node in others}
+    for plan in plans.values():
+        plan.note_store(10.0)
+    for address, plan in plans.items():
+        for other in plans.keys() - {address}:
+            plan.note_answer(other, {other: 10.0}, 10.1)
+    assert sum(plan.follows_store for plan in plans.values()) == 2
+
+
+def test_word_that_came_by_others_is_asked_for_at_its_source():
+    plan = make_plan(find_other())
+    for relay in plan.choose_relays(0.0):
+        plan.note_failure(relay, 9.0, is_silent=True)
+    peer, source = [n.address for n in NODES if n.address not in plan._list_relays()][
+        -2:
+    ]
+    plan.note_answer(peer, {source: 9.0}, 9.1)
+    assert plan.choose_relays(9.1) == [source]
+    assert not plan.is_alone(9.1)
+
+
+def test_peer_that_has_not_heard_the_store_lately_does_not_count():
+    plan = make_plan(find_other())
     for now in (1.0, 2.0, 3.0, 4.0):
         for each in plan.choose_relays(now):
-            plan.note_answer(each, FRESHNESS.bound_s, now)
-    assert plan.follows_store(4.0)
-
-
-def test_node_that_is_asked_is_a_relay_until_nobody_asks_any_more():
-    address = next(a for a in ADDRESSES if not make_plan(a).is_relay(0.0))
-    plan = make_plan(address)
-    plan.note_asked(10.0)
-    assert plan.is_relay(10.0 + ASKED_S - 0.1)
-    assert not plan.is_relay(10.0 + ASKED_S + 0.1)
-
-
-def test_node_without_any_list_asks_its_seeds():
-    plan = RelayPlan("10.0.0.9:1", ["10.0.0.1:1", "10.0.0.9:1"], 2.0, 0.0)
+            plan.note_answer(each, {each: now - FRESHNESS.bound_s}, now)
+    assert plan.is_alone(4.0)
+
+
+def test_own_word_that_comes_back_by_a_peer_is_no_news():
+    """Two nodes that ask each other must not keep an old word alive."""
+    one, other = make_plan(NODES[0]), make_plan(NODES[1])
+    one.note_store(1.0)
+    for step in range(100):
+        now = 1.05 + 0.1 * step
+        for asker, asked, node in ((other, one, NODES[0]), (one, other, NODES[1])):
+            sources = {each: now - age for each, age in asked.list_sources(now)}
+            asker.note_answer(node.address, sources, now)
+        assert one.is_alone(now) == other.is_alone(now) == (now > 1.0 + 2.1)
+
+
+def test_relay_that_has_lost_the_store_passes_no_word_of_other_lost_relays_on():
+    one, other = [make_plan(node) for node in NODES if make_plan(node).is_relay]
+    names = [node.address for node in NODES if make_plan(node).is_relay]
+    for plan in (one, other):
+        plan.note_store(10.0)
+    one.note_answer(names[1], {names[1]: 10.0}, 10.1)
+    one.note_store_lost()
+    assert one.compute_age(10.2) is not None
+    one.note_answer(names[1], {}, 10.2)
+    assert one.compute_age(10.2) is None
+
+
+def test_node_that_knows_the_store_only_from_others_is_not_asked_again():
+    plan = make_plan(find_other())
+    relay, other = plan.choose_relays(0.0)
+    plan.note_answer(relay, {"10.9.9.9:1": 4.9, other: 4.8}, 5.0)
+    assert plan.choose_relays(5.0) == [other, "10.9.9.9:1"]
+    assert not plan.is_alone(5.0)
+
+
+def test_node_without_any_list_asks_its_seeds_and_soon_the_store():
+    node = NODES[5]
+    seeds = ["10.0.0.1:1", node.address]
+    rng = random.Random(3)
+    plan = RelayPlan(node.address, "dc-0", seeds, 2.0, 0.0, rng)
     assert plan.n_nodes == 0
-    assert plan.seeds == ("10.0.0.1:1",)
+    assert plan.is_relay
+    assert plan.choose_relays(0.0) == ["10.0.0.1:1"]
+    plan = RelayPlan("10.0.0.7:1", "dc-0", seeds, 2.0, 0.0, rng)
+    assert not plan.is_relay
+    assert set(plan.choose_relays(0.0)) == set(seeds)
+    assert plan.choose_peer(0.5) is None
+    times = [0.1 * step for step in range(60)]
+    assert any(plan.is_probe_due(now) for now in times if now < 3.5)
+    plan.note_asked("10.0.0.8:1")
+    assert plan.choose_peer(3.5) in {*seeds, "10.0.0.8:1"}
 
 
 # Extra legs
