--- a/src/heatherpick/_fleet/relays.py
+++ b/src/heatherpick/_fleet/relays.py
@@ -48,7 +48,7 @@
     seeds : iterable of str
         Addresses of peers to ask while no list of the nodes is known.
     alone_s : float
-        Age of the newest word from the store, in seconds, from which on a node is alone.
+        Age of the newest word from the store from which on a node is alone, in seconds.
     now : float
         Time of the start, in seconds.
     rng : random.Random
@@ -75,6 +75,7 @@
         self._lost_sources = {}
         self._stands_in = False
         self._hears_store = False
+        self._own_heard_at = now
         self._probe_at = None
         self._is_settled = False
 
@@ -105,7 +106,7 @@
         self._ranked = self._asked_first = None
 
     def _list_relays(self):
-        """Return the addresses of the relays, the same at all nodes with the same list."""
+        """Return the addresses of the relays, the same at all nodes with one list."""
         if self._ranked is None:
             is_known = self._is_settled and self._members
             if is_known:
@@ -131,15 +132,6 @@
 
     # What is heard
 
-    def compute_age(self, now):
-        """Return the age of the newest word from the store in seconds.
-
-        It is None if there was none, and if this node heard it itself but has lost the
-        store since, so that peers do not wait for it.
-        """
-        is_over = self._is_lost and self._source == self._address
-        return None if is_over or self._source is None else now - self._heard_at
-
     def list_sources(self, now):
         """Return nodes that have lately heard the store, with the ages of their words.
 
@@ -151,7 +143,7 @@
         """
         sources = self._find_fresh_sources(now)
         if self.is_source:
-            sources[self._address] = self._heard_at
+            sources[self._address] = self._own_heard_at
         first = rank(RANKING_KEY, sources)[:N_SOURCES_TOLD]
         return [(each, now - sources[each]) for each in first]
 
@@ -167,16 +159,9 @@
         """Whether this node hears the store itself."""
         return self.follows_store and self._hears_store
 
-    def compute_age(self, now):
-        """Return the age of the newest word from the store in seconds.
-
-        It is None if there is none that counts: there never was one, or whoever heard
-        it, this node or another, has lost the store since.
-        """
-        sources = self._find_fresh_sources(now)
-        if not self._hears_store and not sources:
-            return None
-        return now - self._heard_at
+    def has_word(self, now):
+        """Return whether this node, or another that it knows of, hears the store."""
+        return self._hears_store or bool(self._find_fresh_sources(now))
 
     def is_alone(self, now):
         """Return whether the newest word from the store is too old to rely on."""
@@ -184,7 +169,7 @@
 
     def note_store(self, now):
         """Learn that the store has answered this node."""
-        self._heard_at = max(self._heard_at, now)
+        self._heard_at = self._own_heard_at = max(self._heard_at, now)
         self._hears_store = True
         if not self.is_relay:
             self._stands_in = True
--- a/src/heatherpick/_net/documents.py
+++ b/src/heatherpick/_net/documents.py
@@ -436,7 +436,7 @@
             # It hears of the store elsewhere and is better told at once to stay there.
             is_urgent = not self._plan.is_source
         else:
-            is_urgent = self._plan.compute_age(now) is not None
+            is_urgent = self._plan.has_word(now)
         if is_urgent or self._has_news(asked):
             self._tell(request, asked, now)
             return
--- a/src/heatherpick/_net/searches.py
+++ b/src/heatherpick/_net/searches.py
@@ -1,8 +1,8 @@
 """Searches between nodes: offered by one, run by another.
 
 A search travels as the caller's own HTTP request with a few headers more. The node that
-runs it says so at once by an interim answer, 102, or declines with 409. The acceptance is
-confirmed by a request without a body behind the search, which has no answer.
+runs it says so at once by an interim answer, 102, or declines with 409. The acceptance
+is confirmed by a request without a body behind the search, which has no answer.
 """
 
 from heatherpick._net.callers import CallerConnection
--- a/src/heatherpick/_serving/ends.py
+++ b/src/heatherpick/_serving/ends.py
@@ -88,7 +88,9 @@
     def refuse(self, query, status, reason, now, effects):
         """End a request without a result."""
         self.end(query, now, effects)
-        self._reach.note_refused()
+        if query.was_sent:
+            # Where no upstream is listed, no other node could serve the request.
+            self._reach.note_refused()
         retry_after_s = _compute_retry_after(query.route)
         effects.append(fx.Refuse(query.exchange, status, retry_after_s, reason))
         effects.append(self.report(query, status, reason, now))
--- a/src/heatherpick/_serving/handovers.py
+++ b/src/heatherpick/_serving/handovers.py
@@ -1,10 +1,10 @@
 """Searches that an aggregator runs for this node, from offer to answer.
 
-An aggregator accepts a search before it sends any leg. Until the acceptance is seen, the
-search may be taken back and served here; afterwards it is served there only, which is
-confirmed. An acceptance may be lost or late, so that both serve a search for a moment: an
-aggregator without the confirmation asks one upstream of a shard and leaves the rest of
-those that the route allows to the other node.
+An aggregator accepts a search before it sends any leg. Until the acceptance is seen,
+the search may be taken back and served here; afterwards it is served there only, which
+is confirmed. An acceptance may be lost or late, so that both serve a search for a
+moment: an aggregator without the confirmation asks one upstream of a shard and leaves
+the rest of those that the route allows to the other node.
 """
 
 from heatherpick._serving import effects as fx
--- a/src/heatherpick/_serving/queries.py
+++ b/src/heatherpick/_serving/queries.py
@@ -240,6 +240,12 @@
             n_shards / len(self.shards) >= self.route.least_coverage
         )
 
+    @property
+    def was_sent(self):
+        """Whether the request was sent anywhere, arrived or not."""
+        is_offered = self.aggregator is not None or self.was_silent
+        return is_offered or any(shard.n_sent for shard in self.shards)
+
     @property
     def may_have_run(self):
         """Whether any upstream may have run the request."""
--- a/tests/direct/test_fleet.py
+++ b/tests/direct/test_fleet.py
@@ -300,9 +300,9 @@
         plan.note_store(10.0)
     one.note_answer(names[1], {names[1]: 10.0}, 10.1)
     one.note_store_lost()
-    assert one.compute_age(10.2) is not None
+    assert one.has_word(10.2)
     one.note_answer(names[1], {}, 10.2)
-    assert one.compute_age(10.2) is None
+    assert not one.has_word(10.2)
 
 
 def test_node_that_knows_the_store_only_from_others_is_not_asked_again():
