Legs stay in their data centre while there is time left

(The shards have two upstreams in four data centres: half of all legs have to leave.)

Ruled out: a larger constant, which would hold a leg near when time is short.

Change: leaving costs 0.15 for each leg that there would be time for, six at most (_serving/placing.py, a decision of its own).

--- a/src/heatherpick/_serving/directory.py
+++ b/src/heatherpick/_serving/directory.py
@@ -28,9 +28,8 @@
 #: which work queues and each slot's worth of load costs as much as the request itself.
 BUSY_COST = 0.2
 QUEUEING_LOAD = 0.7
-#: Relative cost of a request that leaves the data centre, of a cold upstream, of one
-#: whose entry has lapsed and of one that is passed over.
-REMOTE_COST = 0.15
+#: Relative cost of a cold upstream, of one whose entry has lapsed and of one that is
+#: passed over.
 COLD_COST = 1.0
 LAPSED_COST = 50.0
 AVOIDED_COST = 3.0
@@ -114,8 +113,16 @@
         """Return whether the upstream stalled or failed a short while ago."""
         return now < self._avoid_until
 
-    def rate(self, now):
-        """Return the expected cost of one more request; 1 is an idle upstream."""
+    def rate(self, border_cost, now):
+        """Return the expected cost of one more request; 1 is an idle upstream.
+
+        Parameters
+        ----------
+        border_cost : float
+            Cost of a request that leaves the data centre, on the same scale.
+        now : float
+            Time in seconds.
+        """
         load = self.n_open / max(1, self.entry.n_slots)
         age = now - self._load_at
         if age < 5 * LOAD_HALF_LIFE_S:
@@ -123,7 +130,7 @@
         queueing = BUSY_COST * load + max(0.0, load - QUEUEING_LOAD)
         cost = self._fade(now) * (1.0 + queueing)
         if self.is_remote:
-            cost += REMOTE_COST
+            cost += border_cost
         if now < self.cold_until:
             cost += COLD_COST
         if self.lapsed_at is not None:
--- a/src/heatherpick/_serving/legs.py
+++ b/src/heatherpick/_serving/legs.py
@@ -1,6 +1,7 @@
 """Where the legs of a request go, when they are sent again, and when they are late."""
 
 from heatherpick._serving import effects as fx
+from heatherpick._serving.placing import compute_border_cost
 from heatherpick._serving.queries import Leg
 
 __all__ = ["Legs"]
@@ -74,13 +75,15 @@
         asked = shard.list_asked()
         if len(asked) >= query.n_upstreams:
             return None
+        left_ms = (query.settles - now) * 1000.0
+        border_cost = compute_border_cost(left_ms, query.pace.expected_ms)
         best = None
         best_cost = 0.0
         for upstream in self._directory.list_usable(shard.service):
             upstream_id = upstream.entry.id
             if upstream_id in asked:
                 continue
-            cost = upstream.rate(now) + TIE_BREAK * self._rng.random()
+            cost = upstream.rate(border_cost, now) + TIE_BREAK * self._rng.random()
             if upstream_id in shard.passed_over:
                 cost += PASSED_OVER_COST
             if best is None or cost < best_cost:
--- a/src/heatherpick/_serving/pace.py
+++ b/src/heatherpick/_serving/pace.py
@@ -79,8 +79,8 @@
 
     @property
     @abstractmethod
-    def _usual_ms(self):
-        """Latency that an upstream's own is compared with."""
+    def expected_ms(self):
+        """Usual latency of a leg, with which an upstream's own is compared."""
 
     def learn(self, upstream, elapsed_ms, now):
         """Take in an answer, and let its upstream learn how it compares.
@@ -90,14 +90,14 @@
         bool
             Whether ``late_ms`` has become better known.
         """
-        usual_ms = self._usual_ms
+        usual_ms = self.expected_ms
         self._route_pace.learn(elapsed_ms)
         upstream.learn_latency(elapsed_ms / usual_ms, now)
         return False
 
     def learn_cut(self, upstream, elapsed_ms, now):
         """Take in that an upstream had not answered when its leg was cut."""
-        ratio = CUT_RATIO * elapsed_ms / self._usual_ms
+        ratio = CUT_RATIO * elapsed_ms / self.expected_ms
         if ratio > upstream.scale:
             upstream.learn_latency(ratio, now)
 
@@ -113,7 +113,7 @@
         return self._route_pace.late_ms
 
     @property
-    def _usual_ms(self):
+    def expected_ms(self):
         return self._route_pace.median_ms
 
 
@@ -154,7 +154,7 @@
         return MOST_MEDIANS * self._route_pace.median_ms
 
     @property
-    def _usual_ms(self):
+    def expected_ms(self):
         return self.usual_ms or self._route_pace.median_ms
 
     def learn(self, upstream, elapsed_ms, now):
