Whether the store was away is told with its age, and frozen relays do not say it

Cause: two faults of the new plan, found by a test of whole fleets. A node that was told that the store had been away told others so for as long again, and they told it back, so that a fleet never stopped to take entries that went for ones that had lapsed. And a node that heard of no relay took the store for away, though its relays were frozen, and would have kept an upstream that left as a last resort for 2 s more than the bound has room for.

Change: the news say how long ago the store was away; a node that was alone takes it for away only if a relay has said that it lost it.

--- a/src/heatherpick/_fleet/relays.py
+++ b/src/heatherpick/_fleet/relays.py
@@ -165,6 +165,15 @@
         """Return whether this node, or another that it knows of, hears the store."""
         return self._hears_store or bool(self._find_fresh_sources(now))
 
+    def was_told_of_loss(self, now):
+        """Return whether a relay has lately said that it does not hear the store.
+
+        Relays that say nothing may be in trouble themselves.
+        """
+        times = [self._lost_sources.get(each) for each in self._list_relays()]
+        oldest = now - self._alone_s - AVOID_S
+        return any(time is not None and time >= oldest for time in times)
+
     def is_alone(self, now):
         """Return whether the newest word from the store is too old to rely on."""
         return now - self._heard_at > self._alone_s
--- a/src/heatherpick/_net/documents.py
+++ b/src/heatherpick/_net/documents.py
@@ -46,8 +46,8 @@
 FROM = "from"
 HAS_WORD = "has-word"
 #: Headers of the answer: nodes that have heard the store, each with the age of its word
-#: when the question came, in seconds, below 0 if it is newer; and whether the store was
-#: out of reach a short while ago.
+#: when the question came, in seconds, below 0 if it is newer; and how long ago the
+#: store was out of reach, in seconds, if that was a short while ago.
 SOURCES_HEADER = b"x-heatherpick-store-heard"
 AWAY_HEADER = b"x-heatherpick-store-away"
 
@@ -264,7 +264,7 @@
         """Take note that the store has answered."""
         now = self.loop.seconds()
         was_searching = self._plan.is_searching(now)
-        if self._plan.is_alone(now):
+        if self._plan.is_alone(now) and self._plan.was_told_of_loss(now):
             self._away_at = now
         if self.pace.is_lost:
             self.report("store regained")
@@ -382,16 +382,17 @@
             return
         try:
             sources = _read_sources(answer.by_name, asked_at)
-            self._is_told_away = AWAY_HEADER in answer.by_name
+            if AWAY_HEADER in answer.by_name:
+                told_at = self.loop.seconds() - float(answer.by_name[AWAY_HEADER])
+                self._told_away_at = max(self._told_away_at, told_at)
+                self._is_told_away = True
             for kind, news in _decode_news(answer.body).items():
                 self._take_news(kind, news)
         except (ValueError, KeyError, TypeError, zlib.error) as error:
             self._fail_poll(address, f"not understood: {error!r}", is_silent=True)
             return
         finally:
-            if self._is_told_away:
-                self._told_away_at = self.loop.seconds()
-                self._is_told_away = False
+            self._is_told_away = False
         now = self.loop.seconds()
         was_searching = self._plan.is_searching(now)
         self._plan.note_answer(address, sources, now)
@@ -494,9 +495,9 @@
         ]
         if words:
             headers.append((SOURCES_HEADER, ",".join(words).encode()))
-        told_s = now - self._told_away_at
-        if self.was_store_away() or told_s < AWAY_S:
-            headers.append((AWAY_HEADER, b"1"))
+        away_s = now - max(self._away_at, self._told_away_at)
+        if away_s < AWAY_S:
+            headers.append((AWAY_HEADER, b"%.3f" % away_s))
         request.answer(200, headers, self._encode(kinds, known))
 
     def _encode(self, kinds, known):
