Those that search ask the store before their next look; stand-ins are asked back

Pinned to both times to settle, the same test then showed that up to ten stand-ins stay where two are needed: the relays that they ask know only those stand-ins that they heard of first.

Tests: the same test with both times to settle; a claim alone is not believed.

--- a/src/heatherpick/_fleet/relays.py
+++ b/src/heatherpick/_fleet/relays.py
@@ -2,7 +2,7 @@
 
 from heatherpick._core.rendezvous import rank
 
-__all__ = ["RelayPlan"]
+__all__ = ["LOOK_S", "RelayPlan"]
 
 #: Relays that each node asks.
 N_ASKED = 2
@@ -20,6 +20,8 @@
 #: Questions a second that all nodes together put to the store to find out whether they
 #: reach it, while they hear of it from nobody.
 FLEET_PROBES_PER_S = 16.0
+#: Pause between two looks at what is to be done, in seconds.
+LOOK_S = 0.25
 #: Shortest pause between two such questions of one node, in seconds, and the pause of a
 #: node that does not know how many nodes there are.
 LEAST_PROBE_S = 0.5
@@ -71,6 +73,8 @@
         self._heard_at = now + SEEDS_S - alone_s
         #: When each other node that follows the store last heard it, as far as known.
         self._sources = {}
+        #: When others last asked and said that they hear the store.
+        self._claims = {}
         #: When others last said that they do not hear the store.
         self._lost_sources = {}
         self._stands_in = False
@@ -228,8 +232,14 @@
         self._avoided[address] = now + (SILENT_AVOID_S if is_silent else AVOID_S)
         self._sources.pop(address, None)
 
-    def note_asked(self, address):
-        """Learn that a peer asked, which may not be on the list."""
+    def note_asked(self, address, is_source, now):
+        """Learn that a peer asked, which may not be on the list.
+
+        One that says that it hears the store is asked back: how old its word is shows
+        only in its answer.
+        """
+        if is_source:
+            self._claims[address] = now
         if address and address != self._address:
             self._strangers[address] = None
             if len(self._strangers) > N_STRANGERS:
@@ -253,9 +263,12 @@
         ]
         if len(able) >= N_ASKED:
             return able[:N_ASKED]
+        claims = {
+            each for each, at in self._claims.items() if now - at <= self._alone_s
+        }
         stand_ins = [
             each
-            for each in self._find_fresh_sources(now)
+            for each in claims.union(self._find_fresh_sources(now))
             if each not in able and not self._is_avoided(each, now)
         ]
         # All ask the same ones, so that the others hear that they are not needed.
@@ -304,7 +317,9 @@
             self._probe_at = None
             return False
         if self._probe_at is None:
-            self._probe_at = now + self._rng.random() * self._probe_pause_s
+            # Those that are due before they look again ask now.
+            first_s = self._rng.random() * self._probe_pause_s
+            self._probe_at = now + first_s - LOOK_S
         if now < self._probe_at:
             return False
         self._probe_at = now + (0.5 + self._rng.random()) * self._probe_pause_s
--- a/src/heatherpick/_net/documents.py
+++ b/src/heatherpick/_net/documents.py
@@ -11,6 +11,7 @@
     StoredObject,
     StoreFailure,
 )
+from heatherpick._fleet.relays import LOOK_S
 
 __all__ = ["DocumentKeeper"]
 
@@ -23,8 +24,6 @@
 #: Pause between a change and the next watch, in which further changes gather, in
 #: seconds.
 GATHER_S = 0.4
-#: Pause between two looks at whom to ask, in seconds.
-LOOK_S = 0.25
 #: Time after which a watch without an answer is asked anew if the store has changed
 #: meanwhile, in seconds: news of one kind must not hide those of another.
 SILENT_S = 8.0
@@ -42,8 +41,10 @@
 #: and declarations of a megabyte.
 MAX_NEWS_BYTES = 16 * 1024 * 1024
 PATH = b"/changes"
-#: Fields of a question between nodes: who asks, and whether it hears of the store.
+#: Fields of a question between nodes: who asks, whether it hears the store, and whether
+#: it hears of the store at all.
 FROM = "from"
+IS_SOURCE = "is-source"
 HAS_WORD = "has-word"
 #: Headers of the answer: nodes that have heard the store, each with the age of its word
 #: when the question came, in seconds, below 0 if it is newer; and how long ago the
@@ -363,6 +364,8 @@
             f"{kind}={copy.revision or 0}" for kind, copy in self._copies.items()
         )
         target += f"&{FROM}={self._own}"
+        if self._plan.is_source:
+            target += f"&{IS_SOURCE}=1"
         if not self._plan.needs_word(address, now):
             target += f"&{HAS_WORD}=1"
         self._polls.add(address)
@@ -434,9 +437,10 @@
     def begin(self, request):
         """Answer a peer once there is news, or after a while."""
         asked = _parse_question(request.target)
-        self._plan.note_asked(asked.pop(FROM, None))
-        has_word = asked.pop(HAS_WORD, 0)
         now = self.loop.seconds()
+        has_word = asked.pop(HAS_WORD, 0)
+        is_source = bool(asked.pop(IS_SOURCE, 0))
+        self._plan.note_asked(asked.pop(FROM, ""), is_source, now)
         if has_word:
             # It hears of the store elsewhere and is better told at once to stay there.
             is_urgent = not self._plan.is_source
--- a/tests/direct/test_fleet.py
+++ b/tests/direct/test_fleet.py
@@ -313,6 +313,17 @@
     assert not plan.is_alone(5.0)
 
 
+def test_peer_that_says_it_hears_the_store_is_asked_back_and_not_just_believed():
+    plan = make_plan(find_other())
+    for relay in plan.choose_relays(0.0):
+        plan.note_answer(relay, {}, 9.0)
+    plan.note_asked("10.9.9.9:1", True, 9.0)
+    assert plan.choose_relays(9.0) == ["10.9.9.9:1"]
+    assert plan.is_alone(9.0)
+    plan.note_answer("10.9.9.9:1", {}, 9.1)
+    assert plan.choose_relays(9.1) == []
+
+
 def test_node_without_any_list_asks_its_seeds_and_soon_the_store():
     node = NODES[5]
     seeds = ["10.0.0.1:1", node.address]
@@ -327,7 +338,7 @@
     assert plan.choose_peer(0.5) is None
     times = [0.1 * step for step in range(60)]
     assert any(plan.is_probe_due(now) for now in times if now < 3.5)
-    plan.note_asked("10.0.0.8:1")
+    plan.note_asked("10.0.0.8:1", False, 3.0)
     assert plan.choose_peer(3.5) in {*seeds, "10.0.0.8:1"}
 
 
--- a/tests/direct/test_fleet_calls.py
+++ b/tests/direct/test_fleet_calls.py
@@ -3,13 +3,21 @@
 import pytest
 
 from heatherpick._fleet.relays import FLEET_PROBES_PER_S
+from heatherpick._net import documents
 from tests.direct.fleet_model import KINDS, Fleet
 
 SIZES = [2, 12, 195]
+#: Time in which nodes that start together write where they are; shorter in other tests.
+SETTLE_S = 1.5
 #: The size that the plan of the next two years names.
 PLANNED = 1400
 
 
+@pytest.fixture(autouse=True)
+def _use_the_real_time_to_settle(monkeypatch):
+    monkeypatch.setattr(documents, "SETTLE_S", SETTLE_S)
+
+
 def count_relays(n_nodes):
     return max(2, -(-n_nodes // 64))
 
@@ -107,9 +115,13 @@
     assert len(fleet.followers) == count_relays(n_nodes)
 
 
+@pytest.mark.parametrize("settle_s", [SETTLE_S, 0.05])
 @pytest.mark.parametrize("what", ["refused", "silent"])
 @pytest.mark.parametrize("n_nodes", [12, 195])
-def test_news_reach_all_in_time_when_all_relays_are_turned_away(n_nodes, what):
+def test_news_reach_all_in_time_when_all_relays_are_turned_away(
+    n_nodes, what, settle_s, monkeypatch
+):
+    monkeypatch.setattr(documents, "SETTLE_S", settle_s)
     fleet = settle(Fleet(n_nodes, bound_s=3.0))
     away = {node.entry.address for node in fleet.followers}
     fleet.store.turns_away = lambda address: what if address in away else None
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -3,6 +3,8 @@
 import signal
 from abc import ABC, abstractmethod
 
+from tests.soak.world import ENDLESS
+
 __all__ = ["FAULTS", "Fault"]
 
 
@@ -184,6 +186,20 @@
             upstream.is_silent = False
 
 
+class UpstreamEndless(Fault):
+    """Upstreams answer by bytes without end."""
+
+    def begin(self):
+        self.upstreams = self.rng.sample(self.world.upstreams, 2)
+        for upstream in self.upstreams:
+            upstream.endless = self.rng.choice(sorted(ENDLESS))
+        return " ".join(f"{each.id} {each.endless}" for each in self.upstreams)
+
+    def end(self):
+        for upstream in self.upstreams:
+            upstream.endless = None
+
+
 class UpstreamSlow(Fault):
     """Upstreams take long."""
 
@@ -222,6 +238,7 @@
     StoreTurnsAway,
     StoreForgets,
     UpstreamSilent,
+    UpstreamEndless,
     UpstreamSlow,
     Publish,
 )
--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -3,6 +3,7 @@
 import signal
 from collections import Counter
 from dataclasses import dataclass
+from pathlib import Path
 
 from tests.soak.callers import HELD_SLACK_S, PATIENCE_MS, PROMISES, Caller, ask_once
 from tests.soak.faults import FAULTS
@@ -13,6 +14,8 @@
 FAULT_EVERY_S = 0.8
 #: Calm before the site is looked at: what the users' pages call being in touch.
 CONTACT_S = 4.0
+#: Memory of the smallest VM, in megabytes.
+VM_MB = 152
 #: Bounds of the users' pages on acting on news, and what this machine may be late.
 NEWS_S = 3.0
 #: Time after the last fault in which every node must serve whole answers again.
@@ -51,6 +54,7 @@
         findings += _check_versions(attempts)
         findings += [f"handler of the soak failed: {each}" for each in world.faults]
         findings += _check_logs(directory)
+        findings += _check_memory(world)
     outcomes = Counter((each.kind, each.status) for each in attempts)
     return Report(seed, tuple(findings), dict(outcomes), n_faults)
 
@@ -180,3 +184,17 @@
         for line in path.read_text(errors="replace").splitlines():
             if "handler failed" in line or "Traceback" in line:
                 yield f"{path.name}: {line[:300]}"
+
+
+def _check_memory(world):
+    """Return findings on processes that once needed more than the smallest VM has."""
+    findings = []
+    for node in world.nodes:
+        if not node.is_running:
+            continue
+        status = Path(f"/proc/{node.process.pid}/status").read_text()
+        (line,) = (each for each in status.splitlines() if each.startswith("VmHWM"))
+        peak_mb = int(line.split()[1]) // 1024
+        if peak_mb > VM_MB:
+            findings.append(f"{node.name} needed {peak_mb} MB")
+    return findings
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -25,6 +25,14 @@
 N_RECORDS = 3
 #: Width of the nodes' links; two of them are aggregators.
 LINKS_MBPS = (100.0, 100.0, 10.0, 10.0, 10.0)
+#: Answers without end: how they begin, and what is repeated.
+ENDLESS = {
+    "head": (b"HTTP/1.1 200 OK\r\n", b"X-Filler: aaaaaaaaaaaaaaaaaaaaaaaaaaaa\r\n"),
+    "body": (b"HTTP/1.1 200 OK\r\n\r\n", b"a" * 40),
+}
+#: Bytes of such an answer that are written at a time, and the pause, in seconds.
+ENDLESS_BYTES = 40_000
+ENDLESS_PAUSE_S = 0.01
 GRACE_S = 6.0
 #: Longest time that a node may take to start.
 START_S = 15.0
@@ -81,6 +89,7 @@
         self.proxy = None
         self.runs = []
         self.is_silent = False
+        self.endless = None
         super().__init__(world, upstream_id, service, zone)
 
     def announce(self, state="ready", **fields):
@@ -98,6 +107,9 @@
     def serve(self, request):
         if self.is_silent:
             return
+        if self.endless is not None:
+            self._send_without_end(request.connection, *ENDLESS[self.endless])
+            return
         request_id = request.by_name[b"request-id"].decode()
         headers = [
             (b"Request-Id", request_id.encode()),
@@ -106,6 +118,17 @@
         ]
         request.answer(200, headers, b"".join(make_records(self.service, request_id)))
 
+    def _send_without_end(self, connection, data, piece):
+        if connection.is_closed:
+            return
+        if not connection.has_unsent:
+            n_pieces = ENDLESS_BYTES // len(piece)
+            connection.write(data + piece * n_pieces)
+            data = b""
+        self.world.loop.call_later(
+            ENDLESS_PAUSE_S, self._send_without_end, connection, data, piece
+        )
+
 
 class Node:
     """One process of the product."""
