--- a/src/heatherpick/_serving/legs.py
+++ b/src/heatherpick/_serving/legs.py
@@ -1,6 +1,7 @@
 """Where the legs of a request go, when they are sent again, and when they are late."""
 
 from heatherpick._serving import effects as fx
+from heatherpick._serving.placing import compute_border_cost
 from heatherpick._serving.queries import Leg
 
 __all__ = ["Legs"]
@@ -74,13 +75,15 @@
         asked = shard.list_asked()
         if len(asked) >= query.n_upstreams:
             return None
+        left_ms = (query.settles - now) * 1000.0
+        border_cost = compute_border_cost(left_ms, query.pace.expected_ms)
         best = None
         best_cost = 0.0
         for upstream in self._directory.list_usable(shard.service):
             upstream_id = upstream.entry.id
             if upstream_id in asked:
                 continue
-            cost = upstream.rate(now) + TIE_BREAK * self._rng.random()
+            cost = upstream.rate(border_cost, now) + TIE_BREAK * self._rng.random()
             if upstream_id in shard.passed_over:
                 cost += PASSED_OVER_COST
             if best is None or cost < best_cost:
@@ -136,7 +139,7 @@
         )
         may_ask_again = (
             not is_too_late
-            and len(shard.ran_on) < query.n_upstreams
+            and (query.may_widen or len(shard.ran_on) < query.n_upstreams)
             and shard.n_sent < MAX_SENDS
             and self._directory.list_usable(shard.service)
         )
@@ -160,7 +163,7 @@
             leg.is_late = True
             leg.upstream.avoid(now)
             query.n_hedges += 1
-        elif len(shard.list_asked()) >= query.n_upstreams:
+        elif not query.may_widen and len(shard.list_asked()) >= query.n_upstreams:
             leg.is_late = True
 
     def _compute_late_at(self, query, leg):
