--- a/src/heatherpick/_fleet/__init__.py
+++ b/src/heatherpick/_fleet/__init__.py
@@ -1,7 +1,8 @@
 """How nodes keep what they share as new as the store's, at few calls.
 
 A few nodes, the relays, follow the platform's store; the others ask relays. Nothing is
-agreed among nodes: each decides for itself whom to ask, being asked makes a node a
-relay, and whoever hears of no fresh relay follows the store itself. `copies` holds the
-copy of each kind of objects, `relays` the decisions. A copy's revision never goes back.
+agreed among nodes: relays are the first of a ranking that all share, and whoever hears
+of no relay asks any peer, and the store at a pace that is bounded for the whole fleet.
+`copies` holds the copy of each kind of objects, `relays` the decisions. A copy's
+revision never goes back.
 """
--- a/src/heatherpick/_fleet/relays.py
+++ b/src/heatherpick/_fleet/relays.py
@@ -105,8 +105,8 @@
 
     def _change_relays(self):
         # A relay that is to be none any more goes on until it hears of another, which
-        # may not have heard of the change yet.
-        # One look is enough for a list of thousands, before its first change.
+        # may not have heard of the change yet. One look is enough for a list of
+        # thousands, before its first change.
         if self._ranked is not None:
             self._stands_in = self._stands_in or self.is_source
             self._ranked = self._asked_first = None
