One kind of pools for peers, one constant for framing; a return value that nobody read goes

No change of behaviour: searches and questions between nodes made their pools by the same few lines, callers and upstreams each had the share of framing, and the first call of a follower still said whether it asked, which nobody needs since the pace asks for itself.

--- a/src/heatherpick/_fleet/relays.py
+++ b/src/heatherpick/_fleet/relays.py
@@ -113,16 +113,16 @@
 
     def _list_relays(self):
         """Return the addresses of the relays, the same at all nodes with one list."""
+        is_listed = self._is_settled and self._members
         if self._ranked is None:
-            is_known = self._is_settled and self._members
-            if is_known:
+            if is_listed:
                 self._places = {
                     node.address: node.data_centre for node in self._members.values()
                 }
                 self._ranked = list(rank(RANKING_KEY, set(self._places)))
             else:
                 self._ranked = list(self._seeds) or [self._address]
-        if not self._is_settled or not self._members:
+        if not is_listed:
             return self._ranked
         return self._ranked[: max(2, -(-len(self._ranked) // N_NODES_PER_RELAY))]
 
--- a/src/heatherpick/_net/documents.py
+++ b/src/heatherpick/_net/documents.py
@@ -12,6 +12,7 @@
     StoreFailure,
 )
 from heatherpick._fleet.relays import LOOK_S
+from heatherpick._net.peers import TIMEOUT
 
 __all__ = ["DocumentKeeper"]
 
@@ -149,15 +150,10 @@
             self._timer = None
 
     def go_on(self):
-        """Ask the store unless it is being asked; return whether it is."""
+        """Ask the store unless it is being asked."""
         self._timer = None
-        if not self.is_wanted:
-            return False
-        if self._cancel is None:
-            self._ask()
-        return True
-
-    def _ask(self):
+        if not self.is_wanted or self._cancel is not None:
+            return
         store = self._keeper.store
         self._asked_at = self._keeper.loop.seconds()
         if self._copy.revision is None:
@@ -379,7 +375,7 @@
     def _take_poll(self, address, asked_at, answer, reason):
         self._polls.discard(address)
         if answer is None or answer.status != 200:
-            is_silent = answer is None and reason.endswith("timeout")
+            is_silent = answer is None and reason.endswith(TIMEOUT)
             reason = reason or f"status {answer.status}"
             self._fail_poll(address, reason, is_silent)
             return
--- a/src/heatherpick/_net/peers.py
+++ b/src/heatherpick/_net/peers.py
@@ -3,12 +3,13 @@
 from abc import ABC, abstractmethod
 
 from heatherpick._net.probes import PageServer
-from heatherpick._net.upstreams import ConnectionPool, Exchange
+from heatherpick._net.upstreams import Exchange, PeerPools
 
-__all__ = ["HttpPeers", "Peers"]
+__all__ = ["TIMEOUT", "HttpPeers", "Peers"]
 
 #: Longest wait for a connection to a peer, in seconds.
 CONNECT_S = 0.4
+#: How the reason ends for a peer that said nothing.
 TIMEOUT = "timeout"
 
 
@@ -29,7 +30,7 @@
             Time in which the answer must be here, in seconds.
         done : callable
             ``done(answer, reason)``, called once; ``answer`` is None on failure, and
-            ``reason`` ends with ``timeout`` if the peer said nothing.
+            ``reason`` ends with `TIMEOUT` if the peer said nothing.
         """
 
     @abstractmethod
@@ -48,7 +49,7 @@
 
     def __init__(self, loop):
         self._loop = loop
-        self._pools = {}
+        self._pools = PeerPools(loop, 1, CONNECT_S)
 
     def ask(self, address, target, timeout_s, done):
         """Send a question."""
@@ -64,17 +65,8 @@
         data = b"GET %s HTTP/1.1\r\nHost: %s\r\n\r\n" % (target, address.encode())
         exchange = Exchange(data, take)
         timer = self._loop.call_later(timeout_s, miss)
-        self._find_pool(address).send(exchange)
+        self._pools[address].send(exchange)
 
     def listen(self, host, port, begin, abandon):
         """Take questions at an address."""
         PageServer(self._loop, {}, begin, abandon).listen(host, port)
-
-    def _find_pool(self, address):
-        pool = self._pools.get(address)
-        if pool is None:
-            host, _, port = address.rpartition(":")
-            pool = self._pools[address] = ConnectionPool(
-                self._loop, host, int(port), 1, CONNECT_S
-            )
-        return pool
--- a/src/heatherpick/_net/searches.py
+++ b/src/heatherpick/_net/searches.py
@@ -7,7 +7,7 @@
 
 from heatherpick._net.callers import CallerConnection
 from heatherpick._net.sockets import Listener
-from heatherpick._net.upstreams import ConnectionPool, Exchange
+from heatherpick._net.upstreams import Exchange, PeerPools
 from heatherpick._serving import events as ev
 
 __all__ = [
@@ -110,7 +110,7 @@
         self._loop = loop
         self._feed = feed
         self._id_header = id_header
-        self._pools = {}
+        self._pools = PeerPools(loop, MAX_CONNECTIONS, CONNECT_S)
         self._exchanges = {}
 
     def offer(self, query, address, data):
@@ -125,7 +125,7 @@
             accepted=self._take_acceptance,
         )
         self._exchanges[query] = exchange
-        self._find_pool(address).send(exchange)
+        self._pools[address].send(exchange)
 
     def confirm(self, query):
         """Tell the node that accepted a search that it alone runs it."""
@@ -139,15 +139,6 @@
         if exchange is not None:
             exchange.cancel()
 
-    def _find_pool(self, address):
-        pool = self._pools.get(address)
-        if pool is None:
-            host, _, port = address.rpartition(":")
-            pool = self._pools[address] = ConnectionPool(
-                self._loop, host, int(port), MAX_CONNECTIONS, CONNECT_S
-            )
-        return pool
-
     def _take_acceptance(self, exchange):
         self._feed(ev.HandOverAccepted(exchange.context))
 
--- a/src/heatherpick/_net/upstreams.py
+++ b/src/heatherpick/_net/upstreams.py
@@ -5,7 +5,7 @@
 import httptools
 
 from heatherpick._net.budgets import ReadBudget
-from heatherpick._net.callers import HOP_HEADERS
+from heatherpick._net.callers import HOP_HEADERS, MAX_FRAMING_SHARE
 from heatherpick._net.sockets import Stream, open_stream_socket
 
 __all__ = [
@@ -14,16 +14,16 @@
     "ClientConnection",
     "ConnectionPool",
     "Exchange",
+    "PeerPools",
 ]
 
 #: Largest body of an answer that is read, in bytes; a page of the platform's store has
 #: a megabyte, a relay's first answer several.
 MAX_ANSWER_BYTES = 8 * 1024 * 1024
 #: Bytes beside the body that one answer may have: head, interim answers, sizes of
-#: chunks, trailers and late answers to earlier requests. On top come some for each byte
-#: of the body, as a chunk of one byte is framed by five.
+#: chunks, trailers and late answers to earlier requests. On top come
+#: ``MAX_FRAMING_SHARE`` for each byte of the body.
 MAX_FRAMING_BYTES = 64 * 1024
-MAX_FRAMING_SHARE = 8
 #: Body from which on an unfinished answer counts in its pool's budget, in bytes, and
 #: the budget of a pool that shares none.
 SMALL_BODY_BYTES = 16 * 1024
@@ -523,3 +523,31 @@
         self.n_opened += 1
         self._open.add(connection)
         return connection
+
+
+class PeerPools(dict):
+    """Pools of connections to other nodes by address, each made when first asked for.
+
+    Parameters
+    ----------
+    loop : EventLoop
+        Runs the connections.
+    max_connections : int
+        Most connections to one node at a time.
+    connect_timeout_s : float
+        Longest wait for a new connection, in seconds.
+    """
+
+    def __init__(self, loop, max_connections, connect_timeout_s):
+        super().__init__()
+        self._loop = loop
+        self._max_connections = max_connections
+        self._connect_timeout_s = connect_timeout_s
+
+    def __missing__(self, address):
+        """Make the pool of an address, ``ip:port``."""
+        host, _, port = address.rpartition(":")
+        pool = self[address] = ConnectionPool(
+            self._loop, host, int(port), self._max_connections, self._connect_timeout_s
+        )
+        return pool
