Known red: an old word from the store forgets the refusals of a cut off node

Found by reading the change: answers of peers pass on words that others heard, and each of them is taken as contact, however old.

--- a/tests/direct/test_requests.py
+++ b/tests/direct/test_requests.py
@@ -856,3 +856,13 @@
         player.ask("/look/x", request_id=f"r{n}")
     assert [end.status for end in player.ends] == [503] * 5
     assert not player.reach.is_cut_off(player.now + 1.5)
+
+
+def test_word_older_than_the_newest_does_not_make_a_cut_off_node_look_well():
+    """Nodes that are cut off together pass old words from the store to each other."""
+    reach = Reach(0.0)
+    reach.note_contact(10.0)
+    for _ in range(3):
+        reach.note_refused()
+    reach.note_contact(9.5)
+    assert reach.is_cut_off(11.5)
