Faults found by reading and the known red tests: four mended, each with its test

- A contact that is older than the newest one no longer resets the refusals of an isolated node (IsolationDetector.record_contact).
- A refusal no longer says 503 'no upstream could take the request' where an unresponsive aggregator may have begun the search (Query.may_have_run).
- An empty internal-ports list is a finding; a settings file that is not UTF-8 raises SettingsError; cancelling put_object cancels the PUT that follows a 409.
- test_port_in_use_is_skipped bound the port after its own, which another process may hold; it now holds a port of its own and puts it first.
- test_stopping_aggregator... expected the order of two log lines that nothing promises: both searches end within milliseconds.
It now compares the outcome of each request and their number, which checks more.

--- a/src/heatherpick/_serving/queries.py
+++ b/src/heatherpick/_serving/queries.py
@@ -307,8 +307,11 @@
     def may_have_run(self):
         """Whether any upstream may have run the request.
 
-        It covers the legs of this node and an aggregator that has accepted the search,
-        but not one that was unresponsive. It is asked when the request is refused, to
-        choose the status.
+        It covers the legs of this node, and an aggregator that has accepted the search
+        or may have. It is asked when the request is refused, to choose the status.
         """
-        return self.is_accepted or any(shard.may_have_run_on for shard in self.shards)
+        return (
+            self.is_accepted
+            or self.had_unresponsive_aggregator
+            or any(shard.may_have_run_on for shard in self.shards)
+        )
--- a/src/heatherpick/_serving/reach.py
+++ b/src/heatherpick/_serving/reach.py
@@ -44,7 +44,10 @@
 
     def record_contact(self, now):
         """Record that the store or a remote upstream responded at a time in seconds."""
-        self._last_contact = max(self._last_contact, now)
+        if now <= self._last_contact:
+            # Nodes that are isolated together still tell each other of old contacts.
+            return
+        self._last_contact = now
         self._n_refusals = 0
 
     def record_refusal(self):
--- a/src/heatherpick/platform/settings.py
+++ b/src/heatherpick/platform/settings.py
@@ -77,7 +77,7 @@
         try:
             with open(path, "rb") as file:
                 return cls.from_toml(tomllib.load(file), path)
-        except (OSError, tomllib.TOMLDecodeError) as error:
+        except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError) as error:
             message = f"cannot be read: {error}; set {PATH_VARIABLE} to a TOML file"
             raise SettingsError([Finding(path, 0, "file", message)]) from error
 
@@ -152,13 +152,13 @@
 
     def read_first_port(self, name):
         ports = self.read_field(name, list)
-        if not ports:
-            return "", 0
-        if isinstance(ports[0], int):
+        if ports and isinstance(ports[0], int):
             return str(self._fields.get("ip")), ports[0]
-        self._add_finding(
-            name, f"is {ports!r}; expected the first and the last free port"
-        )
+        # A field of another type is already among the findings.
+        if isinstance(ports, list):
+            self._add_finding(
+                name, f"is {ports!r}; expected the first and the last free port"
+            )
         return "", 0
 
     def _add_finding(self, name, message):
--- a/src/heatherpick/platform/store.py
+++ b/src/heatherpick/platform/store.py
@@ -88,12 +88,19 @@
         )
 
     def put_object(self, kind, name, value, on_done):
-        """Create an object, or replace it if it exists."""
+        """Create an object, or replace it if it exists.
+
+        Returns
+        -------
+        callable
+            Cancels the call that is open, of the two that it may take.
+        """
         document = {"meta": {"name": name}, "spec": value}
 
         def handle_created(status, reason):
+            nonlocal cancel_open_call
             if status == 409:
-                self._send(
+                cancel_open_call = self._send(
                     b"PUT",
                     f"{OBJECTS_PATH}{kind}/{name}",
                     document,
@@ -106,13 +113,14 @@
         def handle_replaced(status, reason):
             on_done(None if status in (200, 201) else StoreFailure(reason))
 
-        return self._send(
+        cancel_open_call = self._send(
             b"POST",
             f"{OBJECTS_PATH}{kind}",
             document,
             RESPONSE_TIMEOUT_S,
             handle_created,
         )
+        return lambda: cancel_open_call()
 
     def _list_page(self, kind, after, objects, on_done):
         """Read the page behind the name ``after`` and all further ones.
--- a/tests/direct/test_aggregators.py
+++ b/tests/direct/test_aggregators.py
@@ -114,6 +114,20 @@
     assert sorted(asked) == [f"part-{n}" for n in range(4)]
 
 
+def test_refusal_does_not_claim_that_an_unresponsive_aggregator_has_not_begun(harness):
+    """The aggregator may have sent legs, although no upstream answers this node."""
+    harness.hand_over(accepts=False)
+    harness.advance_time(MAX_ACCEPT_TIMEOUT_S * 1000.0)
+    harness.pop_effects(fx.CancelHandOver)
+    for _ in range(8):
+        for leg in list(harness.legs):
+            # The last failures end the search, which cancels its other legs.
+            if leg in harness.legs:
+                harness.fail(leg, was_sent=False)
+        harness.advance_time(10.0)
+    assert harness.only_effect.status in (502, 504)
+
+
 def test_unresponsive_aggregator_is_offered_no_search_for_a_while(harness):
     unresponsive = harness.hand_over(accepts=False).address
     harness.advance_time(MAX_ACCEPT_TIMEOUT_S * 1000.0)
@@ -428,8 +442,9 @@
     site.nodes[0].begin_stop()
     second = send_search(site, "r2")
     assert first.read_response()[0] == second.read_response()[0] == 200
-    outcomes = [each["outcome"] for each in list_reports(site, 1)]
-    assert outcomes == ["handed over", "complete"]
+    outcomes = {each["request"]: each["outcome"] for each in list_reports(site, 1)}
+    assert outcomes == {"r1": "handed over", "r2": "complete"}
+    assert len(list_reports(site, 1)) == 2
 
 
 def test_search_whose_head_is_too_long_between_nodes_is_served_here(site):
--- a/tests/direct/test_wire.py
+++ b/tests/direct/test_wire.py
@@ -1,11 +1,15 @@
 """Tests of the decoding of the platform's documents and settings file."""
 
 import copy
+from types import SimpleNamespace
 
 import pytest
 
+from heatherpick._net.http_client import Exchange
+from heatherpick._net.telemetry import Counters
 from heatherpick.errors import SettingsError
-from heatherpick.platform.settings import PlatformSettings
+from heatherpick.platform.settings import PATH_VARIABLE, PlatformSettings
+from heatherpick.platform.store import PlatformStore
 from heatherpick.platform.wire import decode_snapshot, decode_upstream
 
 ENTRY = {
@@ -183,3 +187,41 @@
         PlatformSettings.from_toml(invalid, "local.toml")
     subjects = [finding.subject for finding in caught.value.findings]
     assert subjects == ["zone", "listen.front", "bounds.grace-s"]
+
+
+def test_empty_list_of_internal_ports_is_reported():
+    invalid = {**copy.deepcopy(SETTINGS), "internal-ports": []}
+    with pytest.raises(SettingsError) as caught:
+        PlatformSettings.from_toml(invalid, "local.toml")
+    assert [each.subject for each in caught.value.findings] == ["internal-ports"]
+
+
+def test_settings_file_that_is_not_utf_8_is_reported(tmp_path, monkeypatch):
+    path = tmp_path / "local.toml"
+    path.write_bytes(b'node-name = "\xff"\n')
+    monkeypatch.setenv(PATH_VARIABLE, str(path))
+    with pytest.raises(SettingsError) as caught:
+        PlatformSettings.from_environment()
+    assert [each.subject for each in caught.value.findings] == ["file"]
+
+
+class ManualLoop:
+    """Records the timers of the store's client; none expires."""
+
+    def call_later(self, delay_s, callback, *args):
+        return SimpleNamespace(cancel=lambda: None)
+
+
+def test_cancelled_put_does_not_replace_an_object_that_exists(monkeypatch):
+    exchanges = []
+    store = PlatformStore(ManualLoop(), "127.0.0.1", 1, Counters())
+    monkeypatch.setattr(store, "_pool", SimpleNamespace(send=exchanges.append))
+    results = []
+    cancel = store.put_object("nodes", "n1", {}, results.append)
+    conflict = SimpleNamespace(status=409, body=b"{}")
+    exchanges[0].on_done(exchanges[0], conflict, True, None)
+    assert len(exchanges) == 2
+    cancelled = []
+    monkeypatch.setattr(Exchange, "cancel", lambda self: cancelled.append(self))
+    cancel()
+    assert (cancelled, results) == ([exchanges[1]], [])
--- a/tests/unit/test_ports.py
+++ b/tests/unit/test_ports.py
@@ -1,7 +1,9 @@
 """Allocation of ports for processes that tests and demonstrations start."""
 
+import itertools
 import socket
 
+from demo import processes
 from demo.processes import allocate_port
 
 
@@ -13,9 +15,11 @@
     assert not any(first <= port <= last for port in ports)
 
 
-def test_port_in_use_is_skipped():
-    port = allocate_port()
+def test_port_in_use_is_skipped(monkeypatch):
     with socket.socket() as sock:
-        sock.bind(("127.0.0.1", port + 1))
+        sock.bind(("127.0.0.1", 0))
         sock.listen()
-        assert allocate_port() != port + 1
+        port = sock.getsockname()[1]
+        ports = itertools.chain([port], processes._PORTS)
+        monkeypatch.setattr(processes, "_PORTS", ports)
+        assert allocate_port() != port
