--- a/src/heatherpick/_serving/completion.py
+++ b/src/heatherpick/_serving/completion.py
@@ -140,6 +140,8 @@
             "status": status,
             "outcome": outcome,
             "ms": round((now - query.arrived_at) * 1000.0, 1),
+            "objective_ms": round(query.route.objective_ms, 1),
+            "priority": query.route.priority,
             "shards": len(query.shards),
             "answered": query.n_answered,
             "hedges": query.n_hedges,
