--- a/tools/losses.py
+++ b/tools/losses.py
@@ -1,7 +1,7 @@
 """Account of the worth that a day on the platform's bench lost, by cause.
 
-Usage: ``python -m tools.losses SITE DAY REPORT LOG [--plot FILE]``, where the report and
-the log come from one run with ``--report REPORT --log all``.
+Usage: ``python -m tools.losses SITE DAY REPORT LOG [--plot FILE]``, where the report
+and the log come from one run with ``--report REPORT --log all``.
 
 The report tells how much worth was lost in each window of the day, the nodes' log
 lines why each request was late, partial or refused. A caller's attempts have different
