--- a/src/heatherpick/_net/node.py
+++ b/src/heatherpick/_net/node.py
@@ -407,7 +407,9 @@
         self._loop.call_later(STOP_POLL_S, self._poll_stop)
 
     def _render_readiness(self):
-        return (200, b"ready\n") if self.is_ready else (503, b"not ready\n")
+        is_ready = self.is_ready
+        self._isolation.record_check(is_ready)
+        return (200, b"ready\n") if is_ready else (503, b"not ready\n")
 
     def _render_metrics(self):
         snapshot = self._reducer.snapshot
--- a/src/heatherpick/_serving/completion.py
+++ b/src/heatherpick/_serving/completion.py
@@ -91,6 +91,14 @@
         status, reason = self._choose_refusal(query, now)
         self.refuse(query, status, reason, now, effects)
 
+    def refuse_isolated(self, query, now, effects):
+        """Refuse a request for which this isolated node reaches too few upstreams."""
+        status = 502 if query.may_have_run else 503
+        self.finish(query, now, effects)
+        self._send_refusal(
+            query, status, "isolated", self._isolation.retry_after_s, now, effects
+        )
+
     def refuse(self, query, status, reason, now, effects):
         """Finish a request without a result."""
         self.finish(query, now, effects)
@@ -99,6 +107,9 @@
             # could have served it either.
             self._isolation.record_refusal()
         retry_after_s = _compute_retry_after(query.route)
+        self._send_refusal(query, status, reason, retry_after_s, now, effects)
+
+    def _send_refusal(self, query, status, reason, retry_after_s, now, effects):
         effects.append(fx.Refuse(query.request, status, retry_after_s, reason))
         effects.append(self.build_report(query, status, reason, now))
 
--- a/src/heatherpick/_serving/directory.py
+++ b/src/heatherpick/_serving/directory.py
@@ -283,6 +283,10 @@
             )
         return usable
 
+    def has_local(self, service):
+        """Return whether a usable upstream of a service is in this data centre."""
+        return any(not upstream.is_remote for upstream in self.list_usable(service))
+
 
 def _is_same_instance(old, new):
     return (
--- a/src/heatherpick/_serving/legs.py
+++ b/src/heatherpick/_serving/legs.py
@@ -23,6 +23,9 @@
 #: Pause before the next attempt at a hedge that the budget or the upstreams did not
 #: allow, in seconds.
 HEDGE_RETRY_PAUSE_S = 0.01
+#: Interval at which a search past its soft deadline checks whether this node is
+#: isolated and cannot serve it any more, in seconds.
+LATE_POLL_S = 0.05
 #: Share of the objective after which a shard that no upstream has taken counts as
 #: missing, so that the caller is refused early enough to retry.
 MAX_UNTRIED_SHARE = 0.2
@@ -41,14 +44,17 @@
         Limits the extra legs.
     cold_limiter : ColdRateLimiter
         Limits the legs to cold upstreams.
+    isolation : IsolationDetector
+        Receives the legs that are late or failed.
     rng : random.Random
         Breaks ties.
     """
 
-    def __init__(self, directory, extra_budget, cold_limiter, rng):
+    def __init__(self, directory, extra_budget, cold_limiter, isolation, rng):
         self._directory = directory
         self._extra_budget = extra_budget
         self._cold_limiter = cold_limiter
+        self._isolation = isolation
         self._rng = rng
 
     def send(self, query, shard, now, effects):
@@ -120,6 +126,19 @@
         leg.upstream.avoid(now)
         leg.shard.add_leg_error(leg.upstream, reason)
 
+    def mark_unreachable(self, query):
+        """Mark the open shards missing that have upstreams in other data centres only.
+
+        Returns
+        -------
+        bool
+            Whether the remaining shards reach the least coverage.
+        """
+        for shard in query.shards:
+            if shard.is_open and not self._directory.has_local(shard.service):
+                query.mark_missing(shard)
+        return query.may_reach_coverage
+
     def remove(self, leg):
         """Remove a leg from its shard; return whether its outcome still matters."""
         if leg not in leg.shard.legs:
@@ -170,6 +189,7 @@
         leg = shard.legs[-1]
         if leg.is_late or now < self._compute_late_at(query, leg):
             return
+        self._isolation.record_unanswered(leg.upstream, leg.sent_at, now)
         is_early = now < self._compute_last_hedge_time(query)
         if is_early and not self._extra_budget.has_surplus(shard.service, now):
             return
@@ -202,7 +222,7 @@
 
     def set_timer(self, query, now, effects):
         """Set the timer of a request to its next retry, hedge or deadline."""
-        due_at = query.deadline
+        due_at = min(query.deadline, now + LATE_POLL_S)
         if now < query.soft_deadline:
             due_at = query.soft_deadline
         for shard in query.shards:
--- a/src/heatherpick/_serving/requests.py
+++ b/src/heatherpick/_serving/requests.py
@@ -68,7 +68,7 @@
         self._cold_limiter = ColdRateLimiter(own_address)
         self._isolation = isolation
         self._dispatcher = LegDispatcher(
-            directory, self._extra_budget, self._cold_limiter, rng
+            directory, self._extra_budget, self._cold_limiter, isolation, rng
         )
         self._completer = RequestCompleter(directory, isolation)
         self._aggregators = Aggregators(own_address)
@@ -204,12 +204,17 @@
 
     def _serve(self, query, now, effects):
         """Send the first leg of each shard of a request."""
+        if self._isolation.is_isolated(now) and not self._isolation.try_probe(now):
+            if self._refuse_if_unreachable(query, now, effects):
+                return
         route_latency = self._find_route_latency(query.route)
         if query.route.is_gather:
             query.latency = SearchLatency(route_latency, len(query.shards))
         else:
             query.latency = LookupLatency(route_latency)
         for shard in query.shards:
+            if not shard.is_open:
+                continue
             self._extra_budget.deposit(shard.service, now)
             if not self._dispatcher.send(query, shard, now, effects):
                 self._dispatcher.schedule_retry(query, shard, now)
@@ -217,6 +222,17 @@
         if not query.is_finished:
             self._dispatcher.set_timer(query, now, effects)
 
+    def _refuse_if_unreachable(self, query, now, effects):
+        """Refuse a request that an isolated node cannot serve; return whether it is.
+
+        On a node that is isolated with its data centre, the local upstreams still serve
+        the requests that need no others.
+        """
+        if self._dispatcher.mark_unreachable(query):
+            return False
+        self._completer.refuse_isolated(query, now, effects)
+        return True
+
     def _find_route(self, event, effects):
         if self._snapshot is None:
             reason, status, retry_after_s = (
@@ -276,7 +292,7 @@
         leg = event.leg
         upstream = leg.upstream
         if upstream.is_remote:
-            self._isolation.record_contact(now)
+            self._isolation.record_response(now)
         if event.load is not None:
             upstream.record_load(*event.load, now)
         if not self._dispatcher.remove(leg):
@@ -353,6 +369,7 @@
         if not self._dispatcher.remove(leg):
             return
         self._dispatcher.record_failure(leg, event.reason, now)
+        self._isolation.record_unanswered(leg.upstream, leg.sent_at, now)
         if not event.was_sent:
             leg.shard.n_delivered -= 1
             leg.shard.may_have_run_on.discard(leg.upstream.entry.id)
@@ -380,6 +397,9 @@
         if now >= query.deadline:
             self._completer.answer_or_refuse(query, now, effects)
             return
+        is_isolated = self._isolation.is_isolated(now)
+        if is_isolated and self._refuse_if_unreachable(query, now, effects):
+            return
         for shard in query.shards:
             if not shard.is_open:
                 continue
--- a/tests/direct/test_requests.py
+++ b/tests/direct/test_requests.py
@@ -13,7 +13,7 @@
 from heatherpick._serving.directory import FIRST_AVOID_S, Directory
 from heatherpick._serving.model import Route, Service, Snapshot, UpstreamEntry
 from heatherpick._serving.pace import LATE_MARGIN_MS, LATE_RATIO
-from heatherpick._serving.reach import IsolationDetector
+from heatherpick._serving.reach import PROBE_INTERVAL_S, IsolationDetector
 from heatherpick._serving.requests import SEND_RESERVE_MS, RequestReducer
 
 HOST = "search.example"
@@ -661,6 +661,8 @@
     harness = RequestHarness([make_route("find", ["part-0"])], entries)
     refuse_requests(harness, 8)
     assert harness.isolation.is_isolated(harness.now)
+    # Between two requests that test whether it still is, it refuses them at once.
+    harness.advance_time(PROBE_INTERVAL_S * 1000.0)
     harness.send_request(request_id="again")
     harness.answer(harness.legs[0])
     assert not harness.isolation.is_isolated(harness.now)
@@ -901,3 +903,171 @@
         isolation.record_refusal()
     isolation.record_contact(9.5)
     assert isolation.is_isolated(11.5)
+
+
+# Isolation
+
+
+def make_isolation_harness(other_data_centres=("b", "c")):
+    """A search over ten shards, four of which have a local upstream, and a lookup."""
+    entries = [make_entry("desk/x", "desk")]
+    services = []
+    for n in range(10):
+        services.append(f"part-{n}")
+        for k in range(2):
+            home = "a" if n < 4 and not k else other_data_centres[(n + k) % 2]
+            entries.append(make_entry(f"part-{n}/{k}", services[-1], home))
+    fields = {"objective_ms": 40.0, "timeout_ms": 400.0}
+    routes = [
+        make_route("find", services, **fields),
+        make_route("look", ["desk"], **LOOKUP_FIELDS),
+    ]
+    return RequestHarness(routes, entries)
+
+
+def answer_local(harness):
+    for leg in list(harness.legs):
+        if not leg.upstream.is_remote and leg in harness.legs:
+            harness.answer(leg)
+
+
+def answer_all(harness):
+    for leg in list(harness.legs):
+        if leg in harness.legs:
+            harness.answer(leg)
+
+
+def reset_remote(harness):
+    for leg in list(harness.legs):
+        if leg.upstream.is_remote and leg in harness.legs:
+            harness.fail(leg)
+
+
+def run_cut_off_searches(harness, seconds, has_resets, interval_ms=100):
+    """Send searches from a data centre that is cut off; return the refusals."""
+    for n in range(round(seconds * 1000 / interval_ms)):
+        harness.send_request(request_id=f"cut-{n}", timeout_ms=401.0)
+        for _ in range(interval_ms // 10):
+            harness.advance_time(10)
+            answer_local(harness)
+            if has_resets:
+                reset_remote(harness)
+    return [each for each in harness.other_effects if type(each) is fx.Refuse]
+
+
+def serve_one_search(harness):
+    harness.send_request(request_id="before")
+    harness.advance_time(10)
+    answer_all(harness)
+    harness.other_effects.clear()
+
+
+@pytest.mark.parametrize("has_resets", [False, True])
+def test_node_that_is_cut_off_with_its_data_centre_knows_within_half_a_second(
+    has_resets,
+):
+    harness = make_isolation_harness()
+    serve_one_search(harness)
+    run_cut_off_searches(harness, 0.4, has_resets)
+    assert harness.isolation.is_isolated(harness.now)
+
+
+@pytest.mark.parametrize("has_resets", [False, True])
+def test_isolated_node_refuses_at_once_what_it_cannot_serve(has_resets):
+    harness = make_isolation_harness()
+    serve_one_search(harness)
+    run_cut_off_searches(harness, 0.5, has_resets)
+    harness.send_request(request_id="probe")
+    harness.other_effects.clear()
+    n_before = len(harness.sent)
+    harness.send_request(request_id="refused")
+    assert (harness.only_effect.status, harness.only_effect.retry_after_s) == (503, 1.0)
+    assert len(harness.sent) == n_before
+
+
+def test_isolated_node_serves_what_needs_local_upstreams_only():
+    harness = make_isolation_harness()
+    serve_one_search(harness)
+    run_cut_off_searches(harness, 0.5, has_resets=False)
+    harness.other_effects.clear()
+    harness.send_request("/look/x", request_id="look")
+    (leg,) = [each for each in harness.legs if each.upstream.entry.service == "desk"]
+    harness.answer(leg)
+    assert type(harness.other_effects[-1]) is fx.Forward
+
+
+def test_search_that_runs_when_its_node_is_cut_off_ends_before_its_timeout():
+    harness = make_isolation_harness()
+    serve_one_search(harness)
+    refusals = run_cut_off_searches(harness, 0.3, has_resets=False)
+    # The legs that were sent may have run, so the caller is not told otherwise.
+    assert refusals[0].status == 502
+
+
+def test_refused_caller_returns_at_once_when_the_balancer_no_longer_sends_any_here():
+    harness = make_isolation_harness()
+    assert harness.isolation.retry_after_s == 1.0
+    for is_ready in (True, False):
+        harness.isolation.record_check(is_ready)
+        assert harness.isolation.retry_after_s == 1.0
+    harness.isolation.record_check(False)
+    assert harness.isolation.retry_after_s == 0.0
+
+
+def test_connections_that_are_all_reset_at_once_do_not_isolate_a_node():
+    harness = make_isolation_harness()
+    serve_one_search(harness)
+    harness.advance_time(1000)
+    harness.send_request(request_id="reset")
+    reset_remote(harness)
+    for _ in range(4):
+        harness.advance_time(10)
+        assert not harness.isolation.is_isolated(harness.now)
+    answer_all(harness)
+    harness.advance_time(500)
+    assert not harness.isolation.is_isolated(harness.now)
+
+
+def test_loss_of_the_only_other_data_centre_does_not_isolate_a_node_at_once():
+    harness = make_isolation_harness(other_data_centres=("b", "b"))
+    serve_one_search(harness)
+    run_cut_off_searches(harness, 0.5, has_resets=False)
+    assert not harness.isolation.is_isolated(harness.now)
+
+
+@pytest.mark.parametrize("has_resets", [False, True])
+def test_store_contact_shows_that_the_upstreams_are_at_fault_until_one_answers(
+    has_resets,
+):
+    harness = make_isolation_harness()
+    serve_one_search(harness)
+    run_cut_off_searches(harness, 0.3, has_resets)
+    harness.isolation.record_contact(harness.now)
+    run_cut_off_searches(harness, 0.7, has_resets)
+    assert not harness.isolation.is_isolated(harness.now)
+    serve_one_search(harness)
+    run_cut_off_searches(harness, 0.4, has_resets)
+    assert harness.isolation.is_isolated(harness.now)
+
+
+def test_leg_that_was_sent_before_the_last_contact_is_no_sign_of_isolation():
+    detector = IsolationDetector(0.0)
+    directory = make_isolation_harness().directory
+    for n in range(4, 10):
+        upstream = directory.get(f"part-{n}/0")
+        detector.record_unanswered(upstream, sent_at=0.9, now=1.0)
+    detector.record_response(1.05)
+    for n in range(4, 10):
+        upstream = directory.get(f"part-{n}/0")
+        detector.record_unanswered(upstream, sent_at=1.0, now=1.1)
+    assert not detector.is_isolated(1.5)
+
+
+def test_response_of_another_data_centre_ends_the_isolation():
+    harness = make_isolation_harness()
+    serve_one_search(harness)
+    run_cut_off_searches(harness, 0.5, has_resets=False)
+    harness.advance_time(PROBE_INTERVAL_S * 1000.0)
+    harness.send_request(request_id="probe")
+    answer_all(harness)
+    assert not harness.isolation.is_isolated(harness.now)
