--- a/src/heatherpick/_serving/requests.py
+++ b/src/heatherpick/_serving/requests.py
@@ -331,6 +331,7 @@
         if event.is_other_upstream:
             self._directory.discard(upstream_id)
         else:
+            leg.upstream.record_outcome(True, now)
             leg.upstream.avoid(now)
         self._dispatcher.retry(leg.query, leg.shard, now, effects)
         self._completer.complete_if_ready(leg.query, now, effects)
