--- a/src/heatherpick/_net/gateway.py
+++ b/src/heatherpick/_net/gateway.py
@@ -2,6 +2,12 @@
 
 from heatherpick._net.budgets import ReadBudget
 from heatherpick._net.callers import CallerConnection
+from heatherpick._net.groups import (
+    GROUP_HEADERS,
+    GroupClient,
+    encode_answer,
+    encode_group_headers,
+)
 from heatherpick._net.http_client import (
     MAX_RESPONSE_BODY_BYTES,
     ConnectionPool,
@@ -78,8 +84,12 @@
                 ROUTES_VERSION_HEADER,
                 AGE_HEADER,
                 CONFIRMED_HEADER,
+                *GROUP_HEADERS,
             }
         )
+        self._group_client = GroupClient(
+            loop, self.handle_event, header_names.request_id
+        )
         self._search_client = SearchClient(
             loop, self.handle_event, header_names.request_id
         )
@@ -91,6 +101,9 @@
             fx.HandOver: self._hand_over,
             fx.ConfirmHandOver: self._confirm_hand_over,
             fx.CancelHandOver: self._cancel_hand_over,
+            fx.SendGroup: self._send_group,
+            fx.CancelGroup: self._cancel_group,
+            fx.AnswerGroup: self._answer_group,
             fx.SendLeg: self._send_leg,
             fx.CancelLeg: self._cancel_leg,
             fx.Forward: self._forward_response,
@@ -176,13 +189,9 @@
             Time since that node received it.
         """
         by_name = request.by_name
-        host = by_name.get(b"host", b"").decode("latin-1").lower().partition(":")[0]
-        request_id = by_name.get(self._header_names.request_id, b"").decode("latin-1")
         event = ev.RequestArrived(
             request,
-            host,
-            request.target.decode("latin-1"),
-            request_id,
+            *self._read_names(request),
             _parse_number(by_name.get(self._header_names.timeout)),
             request.connection.estimate_network_ms()
             if peer_routes_version is None
@@ -192,6 +201,27 @@
         )
         self.handle_event(event)
 
+    def handle_group(self, request, upstream_ids, n_records, is_rest, wait_ms):
+        """Send the legs of a group of another node; see `GroupArrived`."""
+        timeout_ms = _parse_number(request.by_name.get(self._header_names.timeout))
+        event = ev.GroupArrived(
+            request,
+            *self._read_names(request),
+            upstream_ids,
+            n_records,
+            is_rest,
+            wait_ms,
+            wait_ms if timeout_ms is None else int(timeout_ms),
+        )
+        self.handle_event(event)
+
+    def _read_names(self, request):
+        """Return the host, path and id of a request."""
+        by_name = request.by_name
+        host = by_name.get(b"host", b"").decode("latin-1").lower().partition(":")[0]
+        request_id = by_name.get(self._header_names.request_id, b"").decode("latin-1")
+        return host, request.target.decode("latin-1"), request_id
+
     def handle_confirmation(self, request):
         """Handle the confirmation by the node that handed a search over."""
         if request.query is not None:
@@ -246,6 +276,34 @@
     def _cancel_hand_over(self, effect):
         self._search_client.cancel(effect.query)
 
+    # Groups of legs
+
+    def _send_group(self, effect):
+        group = effect.group
+        request = group.query.request
+        request.query = group.query
+        data = b"%s%s: %d\r\n%s\r\n%s" % (
+            request.upstream_head or self._build_upstream_head(request),
+            self._header_names.timeout,
+            effect.timeout_ms,
+            encode_group_headers(group, effect.wait_ms),
+            request.body,
+        )
+        self._counters.count("groups_sent")
+        self._group_client.send(group, data)
+
+    def _cancel_group(self, effect):
+        self._group_client.cancel(effect.group)
+
+    def _answer_group(self, effect):
+        request_id = effect.request.by_name.get(self._header_names.request_id, b"")
+        headers = [
+            (self._header_names.request_id, request_id),
+            *encode_answer(effect.outcomes),
+        ]
+        self._counters.count("groups_gathered")
+        self._respond(effect.request, 200, headers, effect.body)
+
     # Legs and responses
 
     def _send_leg(self, effect):
--- a/src/heatherpick/_net/searches.py
+++ b/src/heatherpick/_net/searches.py
@@ -7,6 +7,7 @@
 """
 
 from heatherpick._net.callers import CallerConnection
+from heatherpick._net.groups import LEGS_HEADER, read_group
 from heatherpick._net.http_client import Exchange, PeerPools
 from heatherpick._net.sockets import Listener
 from heatherpick._serving import events as ev
@@ -88,10 +89,17 @@
         self._gateway.add_connection(_SearchConnection(self._loop, sock, self))
 
     def handle_request(self, request):
-        """Run a completely read search, or decline it.
+        """Run a completely read search or group of legs, or decline it.
 
         It is declined if this node is stopping or a header of the offer is invalid.
         """
+        if LEGS_HEADER in request.by_name:
+            group = None if self.is_stopping else read_group(request.by_name)
+            if group is None:
+                request.respond(DECLINED_STATUS, (), b"")
+            else:
+                self._gateway.handle_group(request, *group)
+            return
         version = request.by_name.get(ROUTES_VERSION_HEADER, b"")
         age_us = request.by_name.get(AGE_HEADER, b"")
         if self.is_stopping or not version.isdigit() or not age_us.isdigit():
--- a/src/heatherpick/_serving/completion.py
+++ b/src/heatherpick/_serving/completion.py
@@ -59,8 +59,11 @@
 
     def _answer_merged(self, query, now, effects):
         self.finish(query, now, effects)
-        parts = [shard for shard in query.shards if shard.body is not None]
-        body = merge_parts([shard.body for shard in parts], query.route.n_records)
+        parts = [shard for shard in query.shards if shard.signature is not None]
+        bodies = [shard.body for shard in parts if shard.group is None]
+        # The records of a group are those of exactly the shards that refer to it.
+        bodies += [group.parts for group in query.groups if group.parts is not None]
+        body = merge_parts(bodies, query.route.n_records)
         n_missing = len(query.shards) - len(parts)
         effects.append(
             fx.Merge(
@@ -139,8 +142,13 @@
                 if age_ms >= query.latency.late_after_ms:
                     query.latency.record_cancelled(leg.upstream, age_ms, now)
                     leg.upstream.avoid(now)
-                effects.append(fx.CancelLeg(leg))
+                if leg.group is None:
+                    effects.append(fx.CancelLeg(leg))
             shard.legs.clear()
+        for group in query.groups:
+            if group.is_open:
+                group.is_open = False
+                effects.append(fx.CancelGroup(group))
 
     def build_report(self, query, status, outcome, now):
         """Return the log line about a finished request."""
@@ -163,7 +171,9 @@
         if query.aggregator is not None:
             fields["aggregator"] = query.aggregator
             return fx.Report("request ended", fields)
-        missing = [shard for shard in query.shards if shard.body is None]
+        if query.groups:
+            fields["groups"] = len(query.groups)
+        missing = [shard for shard in query.shards if shard.signature is None]
         if missing:
             fields["missing"] = [
                 {
--- a/src/heatherpick/_serving/directory.py
+++ b/src/heatherpick/_serving/directory.py
@@ -125,6 +125,14 @@
         """Return whether the upstream recently stalled or failed."""
         return now < self._avoid_until
 
+    def is_healthy(self, now):
+        """Return whether it is listed, not cold and not being avoided."""
+        return (
+            self.lapsed_at is None
+            and now >= self.cold_until
+            and not self.is_avoided(now)
+        )
+
     def compute_cost(self, remote_cost, now):
         """Return the relative cost of one more request; 1 at an idle upstream.
 
--- a/src/heatherpick/_serving/effects.py
+++ b/src/heatherpick/_serving/effects.py
@@ -4,6 +4,8 @@
 
 __all__ = [
     "AcceptHandOver",
+    "AnswerGroup",
+    "CancelGroup",
     "CancelHandOver",
     "CancelLeg",
     "ConfirmHandOver",
@@ -13,6 +15,7 @@
     "Merge",
     "Refuse",
     "Report",
+    "SendGroup",
     "SendLeg",
     "SetTimer",
 ]
@@ -41,6 +44,51 @@
     leg: object
 
 
+@dataclass(frozen=True, slots=True)
+class SendGroup:
+    """Ask a node of another data centre to send the legs of a group.
+
+    Parameters
+    ----------
+    group : LegGroup
+        The group, with its legs and the other node's address.
+    wait_ms : int
+        Time after which that node answers with what it has.
+    timeout_ms : int
+        Remaining time, which is sent along to the upstreams.
+    """
+
+    group: object
+    wait_ms: int
+    timeout_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class CancelGroup:
+    """Close the connection of a group, so that the other node cancels its legs."""
+
+    group: object
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerGroup:
+    """Answer a group of another node.
+
+    Parameters
+    ----------
+    request : object
+        That node's request.
+    outcomes : tuple of LegOutcome
+        One for each leg, in the order in which they were named.
+    body : bytes
+        Merged records of the answered legs.
+    """
+
+    request: object
+    outcomes: tuple
+    body: bytes
+
+
 @dataclass(frozen=True, slots=True)
 class HandOver:
     """Offer a search to another node.
--- a/src/heatherpick/_serving/events.py
+++ b/src/heatherpick/_serving/events.py
@@ -15,6 +15,9 @@
     "LegSent",
     "RequestArrived",
     "TimerExpired",
+    "GroupAnswered",
+    "GroupArrived",
+    "GroupFailed",
 ]
 
 
@@ -101,6 +104,82 @@
     reason: str
 
 
+@dataclass(frozen=True, slots=True)
+class GroupArrived:
+    """Another node asks this one to send legs of a search and to merge their parts.
+
+    Parameters
+    ----------
+    request : object
+        The network layer's request, to which the answer is written.
+    host, path : str
+        Which route the search has.
+    request_id : str
+        Id of the caller's attempt.
+    upstream_ids : tuple of str
+        The upstream of each leg.
+    n_records : int
+        Most records of the answer.
+    is_rest : bool
+        Whether the legs were late in an earlier group of the same search.
+    wait_ms : float
+        Time after which the answer is due with what there is.
+    timeout_ms : int
+        Remaining time of the search, which is sent along to the upstreams.
+    """
+
+    request: object
+    host: str
+    path: str
+    request_id: str
+    upstream_ids: tuple
+    n_records: int
+    is_rest: bool
+    wait_ms: float
+    timeout_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class GroupAnswered:
+    """The node that gathers a group answered.
+
+    Parameters
+    ----------
+    group : LegGroup
+        The group.
+    outcomes : tuple of LegOutcome
+        One for each of its legs.
+    body : bytes
+        Merged records of the answered legs.
+    """
+
+    group: object
+    outcomes: tuple
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class GroupFailed:
+    """The node that was to gather a group sent no valid answer.
+
+    Parameters
+    ----------
+    group : LegGroup
+        The group.
+    was_sent : bool
+        Whether any byte may have been sent.
+    is_declined : bool
+        Whether that node has not begun and will not.
+    reason : str
+        Cause, for the log.
+    """
+
+    group: object
+    was_sent: bool
+    is_declined: bool
+    reason: str
+
+
 @dataclass(frozen=True, slots=True)
 class AnswerWritten:
     """A merged answer was written to the socket, ``elapsed_ms`` after its decision."""
--- a/src/heatherpick/_serving/legs.py
+++ b/src/heatherpick/_serving/legs.py
@@ -8,6 +8,9 @@
 
 #: Shortest remaining time with which a leg is still sent, in milliseconds.
 MIN_LEG_MS = 2.0
+#: Largest additional cost of an upstream that is asked because a node beside it gathers
+#: other legs of the search.
+GROUP_COST_TOLERANCE = 0.3
 #: Time before the soft deadline at which a hedge is sent at the latest, as a multiple
 #: of the age at which a leg is late.
 HEDGE_LEAD_RATIO = 2.5
@@ -76,6 +79,13 @@
             shard.service, now
         ):
             return False
+        leg = self.add_leg(query, shard, upstream, now)
+        effects.append(fx.SendLeg(leg, int(remaining_ms)))
+        return True
+
+    @staticmethod
+    def add_leg(query, shard, upstream, now):
+        """Add a leg to its shard and count it; return it."""
         leg = Leg(query, shard, upstream, now)
         shard.legs.append(leg)
         shard.n_sent += 1
@@ -83,8 +93,55 @@
         shard.may_have_run_on.add(upstream.entry.id)
         shard.retry_at = None
         upstream.n_open_legs += 1
-        effects.append(fx.SendLeg(leg, int(remaining_ms)))
-        return True
+        return leg
+
+    def list_group_candidates(self, query, now):
+        """Return the upstreams that another data centre's node might ask for a search.
+
+        Only shards whose best upstream is remote are included, and of its upstreams
+        those that are healthy and not much worse. A shard without a token for an extra
+        leg is left out, as a late leg of a group is cancelled and must be replaced.
+
+        Returns
+        -------
+        dict of Shard to dict of str to Upstream
+            The best upstream of each data centre.
+        """
+        candidates = {}
+        remaining_ms = (query.soft_deadline - now) * 1000.0
+        remote_cost = compute_remote_cost(remaining_ms, query.latency.expected_ms)
+        for shard in query.shards:
+            if not shard.is_open or not self._extra_budget.has_token(
+                shard.service, now
+            ):
+                continue
+            costs = {
+                upstream: upstream.compute_cost(remote_cost, now)
+                + TIE_BREAK_COST * self._rng.random()
+                for upstream in self._directory.list_usable(shard.service)
+            }
+            if not costs or not min(costs, key=costs.get).is_remote:
+                continue
+            max_cost = min(costs.values()) + GROUP_COST_TOLERANCE
+            by_data_centre = {}
+            for upstream in sorted(costs, key=costs.get, reverse=True):
+                if costs[upstream] <= max_cost and upstream.is_healthy(now):
+                    by_data_centre[upstream.entry.data_centre] = upstream
+            if by_data_centre:
+                candidates[shard] = by_data_centre
+        return candidates
+
+    def cancel(self, leg, now, effects):
+        """Cancel a leg of a shard that has been answered.
+
+        A leg that another node sends stays in its group, which may still be needed.
+        """
+        query = leg.query
+        query.latency.record_cancelled(leg.upstream, leg.compute_age_ms(now), now)
+        leg.shard.legs.remove(leg)
+        leg.upstream.n_open_legs -= 1
+        if leg.group is None:
+            effects.append(fx.CancelLeg(leg))
 
     def _choose_upstream(self, query, shard, now):
         asked = shard.list_asked()
@@ -207,6 +264,8 @@
             leg.is_late = True
 
     def _compute_late_at(self, query, leg):
+        if leg.group is not None:
+            return leg.group.due_at
         return leg.sent_at + query.latency.late_after_ms / 1000.0
 
     def _compute_last_hedge_time(self, query):
--- a/src/heatherpick/_serving/queries.py
+++ b/src/heatherpick/_serving/queries.py
@@ -36,18 +36,21 @@
         The upstream that it is sent to.
     sent_at : float
         Time of sending.
+    group : LegGroup or None
+        The group in which another node sends it; None if this node does.
     is_late : bool
         Whether its age was found to reach ``query.latency.late_after_ms`` and it was
         hedged or cannot be. It is not hedged again.
     """
 
-    __slots__ = ("is_late", "query", "sent_at", "shard", "upstream")
+    __slots__ = ("group", "is_late", "query", "sent_at", "shard", "upstream")
 
     def __init__(self, query, shard, upstream, now):
         self.query = query
         self.shard = shard
         self.upstream = upstream
         self.sent_at = now
+        self.group = None
         self.is_late = False
 
     def compute_age_ms(self, now):
@@ -84,6 +87,8 @@
     body, signature : bytes or None
         The part, which on a gather route holds the records of this shard, and the
         upstream's signature of it; None until they were received.
+    group : LegGroup or None
+        The group whose merged records include the part, in place of ``body``.
     is_missing : bool
         Whether the shard cannot answer any more, as no upstream is left that may be
         asked or one has rejected the request.
@@ -97,6 +102,7 @@
         "leg_errors",
         "body",
         "failure_response",
+        "group",
         "is_missing",
         "legs",
         "n_delivered",
@@ -118,10 +124,17 @@
         self.retry_at = None
         self.body = None
         self.signature = None
+        self.group = None
         self.is_missing = False
         self.failure_response = None
         self.leg_errors = []
 
+    def record_undelivered(self, upstream):
+        """Record that a leg to an upstream was never sent."""
+        self.n_delivered -= 1
+        self.may_have_run_on.discard(upstream.entry.id)
+        self.not_run_on.add(upstream.entry.id)
+
     def add_leg_error(self, upstream, reason):
         """Record why a leg failed or was cancelled."""
         self.leg_errors.append(f"{upstream.entry.id}: {reason}")
@@ -129,7 +142,7 @@
     @property
     def is_open(self):
         """Whether the shard may still answer."""
-        return self.body is None and not self.is_missing
+        return self.signature is None and not self.is_missing
 
     def list_asked(self):
         """Return the set of ids of upstreams that count against `Query.max_upstreams`.
@@ -176,6 +189,8 @@
         Part of the objective that is reserved for the network between caller and node.
     shards : list of Shard
         The state of each service that is asked; one for a request that is not a search.
+    groups : list of LegGroup
+        Its legs that other nodes send.
     n_answered, n_missing : int
         Number of shards that have answered, and of those that cannot any more.
     n_hedges, n_retries : int
@@ -205,6 +220,7 @@
         "aggregator",
         "arrived_at",
         "deadline",
+        "groups",
         "request",
         "is_finished",
         "is_confirmed",
@@ -234,6 +250,7 @@
         self.deadline = now
         self.network_reserve_ms = 0.0
         self.shards = [Shard(service) for service in services]
+        self.groups = []
         self.n_answered = 0
         self.n_missing = 0
         self.n_hedges = 0
--- a/src/heatherpick/_serving/requests.py
+++ b/src/heatherpick/_serving/requests.py
@@ -6,6 +6,9 @@
 from heatherpick._serving.cold import ColdRateLimiter
 from heatherpick._serving.completion import RequestCompleter
 from heatherpick._serving.extras import ExtraLegBudget
+from heatherpick._serving.gathering import GroupCoordinator
+from heatherpick._serving.grouping import Gatherers
+from heatherpick._serving.groups import GroupServer, PeerGroup
 from heatherpick._serving.handovers import HandOverCoordinator
 from heatherpick._serving.legs import LegDispatcher
 from heatherpick._serving.pace import LookupLatency, RouteLatency, SearchLatency
@@ -78,6 +81,9 @@
             self._completer.finish_handed_over,
             self._completer.refuse,
         )
+        self._gatherers = Gatherers(own_address)
+        self._groups = GroupCoordinator(self._dispatcher, self._gatherers, isolation)
+        self._group_server = GroupServer(directory, self._find_route_latency)
         self._route_latencies = {}
         self._round_robins = {}
         self._handlers = {
@@ -93,6 +99,9 @@
             ev.HandOverConfirmed: self._handle_confirmation,
             ev.HandOverAnswered: self._hand_overs.handle_response,
             ev.HandOverFailed: self._hand_overs.handle_failure,
+            ev.GroupArrived: self._handle_group,
+            ev.GroupAnswered: self._handle_group_answer,
+            ev.GroupFailed: self._handle_group_failure,
         }
 
     @property
@@ -107,6 +116,7 @@
     def set_nodes(self, nodes):
         """Set the fleet's nodes, a sequence of `NodeEntry`, and this node's shares."""
         self._aggregators.set_nodes(nodes)
+        self._gatherers.set_nodes(nodes)
         if nodes:
             share = self._aggregators.compute_extra_leg_share(len(nodes))
             self._extra_budget.set_node_share(share)
@@ -213,9 +223,12 @@
         else:
             query.latency = LookupLatency(route_latency)
         for shard in query.shards:
-            if not shard.is_open:
+            if shard.is_open:
+                self._extra_budget.deposit(shard.service, now)
+        self._groups.send_groups(query, route_latency, now, effects)
+        for shard in query.shards:
+            if not shard.is_open or shard.legs:
                 continue
-            self._extra_budget.deposit(shard.service, now)
             if not self._dispatcher.send(query, shard, now, effects):
                 self._dispatcher.schedule_retry(query, shard, now)
         self._completer.complete_if_ready(query, now, effects)
@@ -295,6 +308,9 @@
             self._isolation.record_response(now)
         if event.load is not None:
             upstream.record_load(*event.load, now)
+        if type(leg.query) is PeerGroup:
+            self._group_server.handle_response(event, now, effects)
+            return
         if not self._dispatcher.remove(leg):
             return
         if event.is_proven_unexecuted:
@@ -346,11 +362,8 @@
             leg.upstream.clear_avoidance()
         leg.upstream.record_outcome(False, now)
         has_new_estimate = latency.record_response(leg.upstream, age_ms, now)
-        for other in shard.legs:
-            latency.record_cancelled(other.upstream, other.compute_age_ms(now), now)
-            other.upstream.n_open_legs -= 1
-            effects.append(fx.CancelLeg(other))
-        shard.legs.clear()
+        for other in list(shard.legs):
+            self._dispatcher.cancel(other, now, effects)
         shard.body = event.body
         shard.signature = event.signature
         query.n_answered += 1
@@ -367,14 +380,15 @@
 
     def _handle_leg_failure(self, event, now, effects):
         leg = event.leg
+        if type(leg.query) is PeerGroup:
+            self._group_server.handle_failure(event, now, effects)
+            return
         if not self._dispatcher.remove(leg):
             return
         self._dispatcher.record_failure(leg, event.reason, now)
         self._isolation.record_unanswered(leg.upstream, leg.sent_at, now)
         if not event.was_sent:
-            leg.shard.n_delivered -= 1
-            leg.shard.may_have_run_on.discard(leg.upstream.entry.id)
-            leg.shard.not_run_on.add(leg.upstream.entry.id)
+            leg.shard.record_undelivered(leg.upstream)
         self._dispatcher.retry(leg.query, leg.shard, now, effects)
         self._completer.complete_if_ready(leg.query, now, effects)
 
@@ -386,10 +400,40 @@
         leg = event.leg
         leg.shard.may_have_run_on.add(leg.upstream.entry.id)
 
+    # Groups of legs
+
+    def _handle_group(self, event, now, effects):
+        """Send legs for another node."""
+        snapshot = self._snapshot
+        route = (
+            None if snapshot is None else snapshot.find_route(event.host, event.path)
+        )
+        if route is None or not route.is_gather or self._isolation.is_isolated(now):
+            reason = "isolated, or no route of a search"
+            effects.append(fx.DeclineHandOver(event.request, reason))
+            return
+        self._group_server.handle_request(event, route, now, effects)
+
+    def _handle_group_answer(self, event, now, effects):
+        if self._groups.handle_answer(event, now, effects):
+            self._continue(event.group.query, now, effects)
+
+    def _handle_group_failure(self, event, now, effects):
+        if self._groups.handle_failure(event, now, effects):
+            self._continue(event.group.query, now, effects)
+
+    def _continue(self, query, now, effects):
+        self._completer.complete_if_ready(query, now, effects)
+        if not query.is_finished:
+            self._dispatcher.set_timer(query, now, effects)
+
     # Timers
 
     def _handle_timer(self, event, now, effects):
         query = event.query
+        if type(query) is PeerGroup:
+            self._group_server.handle_timeout(query, now, effects)
+            return
         if query.is_finished:
             return
         if query.aggregator is not None:
@@ -401,6 +445,7 @@
         is_isolated = self._isolation.is_isolated(now)
         if is_isolated and self._refuse_if_unreachable(query, now, effects):
             return
+        self._groups.record_overdue(query, now)
         for shard in query.shards:
             if not shard.is_open:
                 continue
@@ -409,14 +454,15 @@
                 self._dispatcher.retry(query, shard, now, effects)
             elif shard.legs:
                 self._dispatcher.hedge_if_late(query, shard, now, effects)
-        self._completer.complete_if_ready(query, now, effects)
-        if not query.is_finished:
-            self._dispatcher.set_timer(query, now, effects)
+        self._continue(query, now, effects)
 
     # Callers that disconnect
 
     def _handle_disconnect(self, event, now, effects):
         query = event.query
+        if type(query) is PeerGroup:
+            self._group_server.handle_disconnect(query, now, effects)
+            return
         if query.is_finished:
             return
         if query.aggregator is not None:
