--- a/src/heatherpick/_serving/extras.py
+++ b/src/heatherpick/_serving/extras.py
@@ -75,10 +75,6 @@
         bucket = self._refill(service, now)
         return bucket[0] >= max(MIN_SURPLUS, SURPLUS_SHARE * self._max_tokens)
 
-    def has_token(self, service, now):
-        """Return whether a leg could be sent now."""
-        return self._refill(service, now)[0] >= 1.0
-
     def try_withdraw(self, service, now):
         """Withdraw the token for one leg; return whether there was one."""
         bucket = self._refill(service, now)
--- a/src/heatherpick/_serving/gathering.py
+++ b/src/heatherpick/_serving/gathering.py
@@ -17,9 +17,9 @@
 #: Time for a group's request and answer to cross the border and be handled, in
 #: milliseconds. Its legs are late that much later than legs that are sent directly.
 BORDER_MS = 8.0
-#: Share of the time until the soft deadline after which a group is due, so that a leg
-#: that was late in it can still be asked for again.
-MAX_WAIT_SHARE = 0.5
+#: Share of the time until the soft deadline after which a group is due at the latest,
+#: so that the legs of one that is lost can still be sent directly.
+MAX_WAIT_SHARE = 0.7
 
 
 class GroupCoordinator:
--- a/src/heatherpick/_serving/grouping.py
+++ b/src/heatherpick/_serving/grouping.py
@@ -2,10 +2,8 @@
 
 A part from another data centre crosses the border whole, with the heads of a request
 and a response. A node beside the upstreams that gathers several parts and merges them
-sends back at most one answer's records and one signature for each part. So the rule is
-made for searches over many shards without an upstream nearby: legs are grouped while
-extra legs are plentiful, because a part that is late in its group is asked for again
-directly. Under scarcity every leg is sent directly and may still answer late.
+sends back at most one answer's records and one signature for each part. The rule is
+made for searches over many shards, some of which have no upstream nearby.
 """
 
 from collections import defaultdict
@@ -14,9 +12,8 @@
 
 __all__ = ["Gatherers", "plan_groups"]
 
-#: Fewest legs of a group. Two parts and their heads are hardly larger than the merged
-#: answer.
-MIN_GROUP_LEGS = 3
+#: Fewest legs of a group.
+MIN_GROUP_LEGS = 2
 #: Bandwidth from which a node gathers for others, as a share of the fastest link of its
 #: data centre.
 MIN_LINK_SHARE = 0.5
--- a/src/heatherpick/_serving/legs.py
+++ b/src/heatherpick/_serving/legs.py
@@ -10,7 +10,7 @@
 MIN_LEG_MS = 2.0
 #: Largest additional cost of an upstream that is asked because a node beside it gathers
 #: other legs of the search.
-GROUP_COST_TOLERANCE = 0.3
+GROUP_COST_TOLERANCE = 0.4
 #: Time before the soft deadline at which a hedge is sent at the latest, as a multiple
 #: of the age at which a leg is late.
 HEDGE_LEAD_RATIO = 2.5
@@ -99,8 +99,7 @@
         """Return the upstreams that another data centre's node might ask for a search.
 
         Only shards whose best upstream is remote are included, and of its upstreams
-        those that are healthy and not much worse. A shard without a token for an extra
-        leg is left out, as a late leg of a group is cancelled and must be replaced.
+        those that are healthy and not much worse.
 
         Returns
         -------
@@ -111,9 +110,7 @@
         remaining_ms = (query.soft_deadline - now) * 1000.0
         remote_cost = compute_remote_cost(remaining_ms, query.latency.expected_ms)
         for shard in query.shards:
-            if not shard.is_open or not self._extra_budget.has_token(
-                shard.service, now
-            ):
+            if not shard.is_open:
                 continue
             costs = {
                 upstream: upstream.compute_cost(remote_cost, now)
