Groups in logs and explain: a line for each group that lacks a part, counters for all

A node that gathers for many would log a line for each group, and the limit on lines would drop others. explain prints the groups of a request with the nodes that gathered them, and leaves those of other requests out.

--- a/src/heatherpick/_commands/explain.py
+++ b/src/heatherpick/_commands/explain.py
@@ -12,6 +12,8 @@
 CONTEXT_WINDOW_S = 10.0
 #: Messages about the end of a request.
 REQUEST_MESSAGES = frozenset({"request ended", "request refused"})
+#: Message about legs that a node sent for another one, if not all were answered.
+GROUP_MESSAGE = "legs gathered"
 #: Fields that are shown of each other log line.
 CONTEXT_FIELDS = (
     "version",
@@ -23,6 +25,7 @@
     "relay",
     "aggregator",
     "accepted",
+    "gatherer",
 )
 
 
@@ -112,6 +115,15 @@
             f"shards after {line.get('ms')} ms",
             f"  extra legs: {line.get('hedges')} hedges, {line.get('retries')} retries",
         ]
+        if "groups" in line:
+            output.append(f"  groups of legs sent by other nodes: {line['groups']}")
+    output += [
+        f"    {each.get('node')} answered with {each.get('answered')} of "
+        f"{each.get('legs')} legs after {each.get('ms')} ms"
+        for each in lines
+        if each.get("message") == GROUP_MESSAGE
+        and each.get("request") == line.get("request")
+    ]
     asked_upstreams = set()
     for shard in line.get("missing", ()):
         asked_upstreams.update(shard["asked"])
@@ -126,7 +138,7 @@
         for each in lines
         if each.get("node") == node
         and ended_at - CONTEXT_WINDOW_S <= each.get("time", 0.0) <= ended_at
-        and each.get("message") not in REQUEST_MESSAGES
+        and each.get("message") not in (*REQUEST_MESSAGES, GROUP_MESSAGE)
         and (each.get("upstream") in asked_upstreams or "upstream" not in each)
     ]
     if context:
--- a/src/heatherpick/_serving/groups.py
+++ b/src/heatherpick/_serving/groups.py
@@ -345,13 +345,15 @@
         parts = [shard.body for shard in group.shards if shard.body is not None]
         body = merge_parts(parts, group.n_records)
         effects.append(fx.AnswerGroup(group.request, tuple(outcomes), body))
-        fields = {
-            "request": group.request_id,
-            "legs": len(group.shards),
-            "answered": len(parts),
-            "ms": round((now - group.arrived_at) * 1000.0, 1),
-        }
-        effects.append(fx.Report("legs gathered", fields))
+        if len(parts) < len(group.shards):
+            # Complete groups are only counted, as a busy node answers many.
+            fields = {
+                "request": group.request_id,
+                "legs": len(group.shards),
+                "answered": len(parts),
+                "ms": round((now - group.arrived_at) * 1000.0, 1),
+            }
+            effects.append(fx.Report("legs gathered", fields))
         if group.n_open_legs:
             self._lingering[group.request_id] = group
             effects.append(fx.SetTimer(group, now + LINGER_S))
--- a/tests/direct/test_explain.py
+++ b/tests/direct/test_explain.py
@@ -94,6 +94,34 @@
     assert "p0b: silent for" in output.out
 
 
+def test_group_with_a_late_leg_is_explained_with_the_node_that_gathered(
+    monkeypatch, capsys
+):
+    ended = {
+        "message": "request ended",
+        "request": "r1",
+        "node": "n0",
+        "time": 9.0,
+        "route": "find",
+        "groups": 2,
+    }
+    gathered = {
+        "message": "legs gathered",
+        "request": "r1",
+        "node": "n7",
+        "time": 8.9,
+        "legs": 5,
+        "answered": 4,
+        "ms": 18.5,
+    }
+    others = [{**gathered, "request": f"s{n}"} for n in range(3)]
+    lines = [*others, gathered, ended]
+    code, output = run_explain(monkeypatch, capsys, "r1", lines)
+    assert code == 0
+    assert "groups of legs sent by other nodes: 2" in output.out
+    assert output.out.count("n7 answered with 4 of 5 legs after 18.5 ms") == 1
+
+
 def test_request_missing_from_the_logs_is_an_error_with_a_remedy(monkeypatch, capsys):
     code, output = run_explain(monkeypatch, capsys, "r", [{"message": "started"}])
     assert code == 1
