--- a/tests/unit/test_losses.py
+++ b/tests/unit/test_losses.py
@@ -73,13 +73,14 @@
 def test_refusals_before_and_after_the_detection_of_isolation_are_told_apart():
     lines = [
         make_line(0.2, status=502),
+        make_line(0.3, status=503, outcome="isolated"),
         make_line(0.4, "isolated"),
         make_line(0.6, status=503),
         make_line(1.0, "no longer isolated"),
         make_line(1.5, status=502),
     ]
-    losses = account(lines, n=3)
-    causes = {NOT_KNOWN_ISOLATED: 2.0, KNOWN_ISOLATED: 2.0, REFUSED: 2.0}
+    losses = account(lines, n=4)
+    causes = {NOT_KNOWN_ISOLATED: 2.0, KNOWN_ISOLATED: 4.0, REFUSED: 2.0}
     assert sum_by_cause(losses) == pytest.approx(causes)
 
 
--- a/tools/losses.py
+++ b/tools/losses.py
@@ -206,7 +206,9 @@
     if fields["status"] == 0:
         return []
     if fields["status"] >= 400:
-        if any(start <= at < end for start, end in spans):
+        # The node logs that it is isolated at its next readiness check only.
+        is_known = fields.get("outcome") == "isolated"
+        if is_known or any(start <= at < end for start, end in spans):
             return [(KNOWN_ISOLATED, 1.0)]
         if any(start - DETECTION_S <= at < start for start, _ in spans):
             return [(NOT_KNOWN_ISOLATED, 1.0)]
