--- a/tests/direct/test_requests.py
+++ b/tests/direct/test_requests.py
@@ -905,6 +905,26 @@
     assert isolation.is_isolated(11.5)
 
 
+def test_upstream_that_often_rejects_is_asked_less_than_one_that_does_not():
+    """One of two upstreams rejects three of five legs, as where it sheds load."""
+    entries = [make_entry(f"part-0/{k}", "part-0") for k in "ab"]
+    harness = RequestHarness([make_route("find", ["part-0"])], entries)
+    n_legs = {"part-0/a": 0, "part-0/b": 0}
+    for n in range(200):
+        harness.send_request(request_id=f"r{n}")
+        while harness.legs:
+            (leg,) = harness.legs
+            upstream_id = leg.upstream.entry.id
+            n_legs[upstream_id] += 1
+            harness.advance_time(8)
+            if upstream_id == "part-0/a" and n_legs[upstream_id] % 5 < 3:
+                harness.refuse(leg)
+            else:
+                harness.answer(leg)
+        harness.advance_time(240)
+    assert n_legs["part-0/a"] < 0.25 * n_legs["part-0/b"]
+
+
 # Isolation
 
 
