Late legs of two nodes that run one search are all cancelled

Found by reading: answered groups with late legs were kept by the request's id, which two nodes share after a lost acceptance. The second one replaced the first, whose legs then stayed open until their upstreams answered. The test failed before.

--- a/src/heatherpick/_serving/groups.py
+++ b/src/heatherpick/_serving/groups.py
@@ -355,6 +355,10 @@
             }
             effects.append(fx.Report("legs gathered", fields))
         if group.n_open_legs:
+            # Two nodes may run the same search after a lost acceptance.
+            earlier = self._lingering.get(group.request_id)
+            if earlier is not None:
+                self._cancel_open_legs(earlier, effects)
             self._lingering[group.request_id] = group
             effects.append(fx.SetTimer(group, now + LINGER_S))
 
--- a/tests/direct/test_groups.py
+++ b/tests/direct/test_groups.py
@@ -456,6 +456,18 @@
     assert (len(gatherer.sent), gatherer.results) == (3, [CANCELLED])
 
 
+def test_late_legs_of_two_nodes_that_run_the_same_search_are_all_cancelled(gatherer):
+    """Both may run it after an acceptance was lost, and their requests have one id."""
+    gatherer.send_group(ids=gatherer.ids[:1], wait_ms=20.0)
+    gatherer.send_group(ids=gatherer.ids[1:], wait_ms=20.0, request="other")
+    gatherer.advance_time(20.0)
+    for group in [gatherer.sent[0].leg.query, gatherer.sent[1].leg.query]:
+        gatherer.feed(ev.TimerExpired(group))
+    assert gatherer.legs == []
+    for upstream_id in gatherer.ids:
+        assert gatherer.directory.get(upstream_id).n_open_legs == 0
+
+
 def test_gatherer_cancels_the_legs_of_a_node_that_disconnects(gatherer):
     gatherer.send_group()
     gatherer.feed(ev.CallerDisconnected(gatherer.sent[0].leg.query))
