--- a/review/actors/caller.py
+++ b/review/actors/caller.py
@@ -50,8 +50,14 @@
         self._streams = None
         self._idle_since = 0.0
 
-    async def send(self, address, method, path, request_id, deadline_ms, body=b""):
-        """Send a request, on the kept connection if it leads to ``address``."""
+    async def send(
+        self, address, method, path, request_id, deadline_ms, body=b"", first_headers=()
+    ):
+        """Send a request, on the kept connection if it leads to ``address``.
+
+        ``first_headers`` are sent with the first request on a connection only.
+        """
+        headers = []
         is_old = time.monotonic() - self._idle_since > MAX_IDLE_S
         if self._streams is None or self._address != address or is_old:
             await self.close()
@@ -59,9 +65,11 @@
                 asyncio.open_connection(*address), 1.0
             )
             self._address = address
+            headers = list(first_headers)
         reader, writer = self._streams
         lines = [f"{method} {path} HTTP/1.1", f"Host: {self._host}"]
         lines += [f"Request-Id: {request_id}", f"Deadline-Ms: {deadline_ms}"]
+        lines += headers
         if body or method == "POST":
             lines.append(f"Content-Length: {len(body)}")
         data = "\r\n".join([*lines, "", ""]).encode() + body
