Add a review case: bodies without end stay in memory until nodes are killed

Cause: a closed client connection and its parser refer to each other, so that the partly read body is freed by the cyclic collector only, whose threshold is high.

--- a/review/actors/backend.py
+++ b/review/actors/backend.py
@@ -5,6 +5,9 @@
 from actors.messages import format_response, read_message
 
 HOST = "127.0.0.1"
+#: A body without end: bytes written at a time, and the pause between, in seconds.
+ENDLESS_PIECE = b"a" * 65536
+ENDLESS_PAUSE_S = 0.002
 SLOTS = 2
 #: Requests that wait for a slot; a backend with as many is full.
 QUEUE = 8
@@ -29,6 +32,11 @@
         Returns whether the next request is rejected as if the backend were full.
     repeats : callable, optional
         Returns whether the response just sent has a late second copy.
+
+    Attributes
+    ----------
+    is_endless : bool
+        Whether it sends bodies without end in place of answers.
     """
 
     def __init__(
@@ -46,6 +54,7 @@
         self.service = service
         self.zone = zone
         self.address = None
+        self.is_endless = False
         self._store = store
         self._record = record
         self._work_s = work_s
@@ -96,6 +105,9 @@
                         backend=self.id,
                         before=request.headers.get("request-id", ""),
                     )
+                if self.is_endless:
+                    await self._send_without_end(request, writer)
+                    return
                 response = await self._handle(request, reader)
                 if response is None:
                     return
@@ -114,6 +126,16 @@
         finally:
             writer.close()
 
+    async def _send_without_end(self, request, writer):
+        """Send a body without end until the caller closes the connection."""
+        request_id = request.headers.get("request-id", "")
+        self._record.write("body without end", backend=self.id, request=request_id)
+        writer.write(f"HTTP/1.1 200 OK\r\nRequest-Id: {request_id}\r\n\r\n".encode())
+        while not writer.is_closing():
+            writer.write(ENDLESS_PIECE)
+            await writer.drain()
+            await asyncio.sleep(ENDLESS_PAUSE_S)
+
     async def _handle(self, request, reader):
         """Return the response; None if the caller disconnected meanwhile."""
         await asyncio.sleep(ROUND_TRIP_S)
--- a/review/actors/fleet.py
+++ b/review/actors/fleet.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import os
+import resource
 import signal
 import socket
 import subprocess
@@ -36,7 +37,7 @@
 [limits]
 cpu-share = 0.731
 cores = 1
-memory-mb = 222
+memory-mb = {memory_mb}
 max-fds = 1535
 link-mbps = 350.0
 [bounds]
@@ -56,6 +57,7 @@
 form = "objects"
 """
 GRACE_S = 6
+MEMORY_MB = 222
 
 
 class Record:
@@ -126,6 +128,7 @@
             peer_port=self.peer_port,
             seeds=json.dumps(seeds),
             grace_s=GRACE_S,
+            memory_mb=MEMORY_MB,
             store="{}:{}".format(*store_address),
         )
         self.settings.write_text(text)
@@ -144,6 +147,14 @@
                 command, cwd=ROOT, stdout=log, stderr=log, env=environment
             )
 
+    def read_memory_mb(self):
+        """Return the resident memory of the process in MB; 0 if it has ended."""
+        try:
+            text = Path(f"/proc/{self.process.pid}/statm").read_text()
+        except OSError:
+            return 0
+        return int(text.split()[1]) * resource.getpagesize() // 1_000_000
+
     def read_log(self, word):
         """Return the lines of all its logs that contain a word."""
         paths = sorted(Path(self._directory).glob(f"{self.name}-*.log"))
