Send no request again on a connection on which it was rejected

Cause: both attempts of one order have the same id, and the node tells by the id whether a response belongs to the request that it awaits. The copy of the first rejection counted as the rejection of the second attempt, which ran. Evidence: record of the case before the fix (3 ran twice, 2 refused and ran): in all five orders the second copy is sent on the connection of the first attempt just before the second attempt runs there; no broken order is without one.

Fix: the connections on which legs of a request were rejected are excluded for its further legs. A pool whose idle connections are all excluded closes one of them for a new one; a queued request gets a new connection likewise.

--- a/src/heatherpick/_net/callers.py
+++ b/src/heatherpick/_net/callers.py
@@ -94,6 +94,8 @@
         The reducer's query for the request, and the timer of its next deadline.
     upstream_head : bytes or None
         Start of the head that is sent to upstreams, built once for all legs.
+    rejected_on : set of ClientConnection or tuple
+        Connections on which upstreams rejected a leg of the request.
     """
 
     __slots__ = (
@@ -106,6 +108,7 @@
         "keeps_alive",
         "method",
         "query",
+        "rejected_on",
         "target",
         "timer",
     )
@@ -122,6 +125,13 @@
         self.query = None
         self.timer = None
         self.upstream_head = None
+        self.rejected_on = ()
+
+    def record_rejection(self, connection):
+        """Record the connection of a rejected leg; no other leg is sent on it."""
+        if not self.rejected_on:
+            self.rejected_on = set()
+        self.rejected_on.add(connection)
 
     def send_processing(self):
         """Send the interim response 102, which says that the request was started."""
--- a/src/heatherpick/_net/gateway.py
+++ b/src/heatherpick/_net/gateway.py
@@ -332,6 +332,7 @@
             max_body_bytes=MAX_PART_BYTES
             if query.route.is_gather
             else MAX_RESPONSE_BODY_BYTES,
+            excluded_connections=request.rejected_on,
         )
         self._exchanges[leg] = exchange
         if not self._find_pool(entry).send(exchange):
@@ -367,11 +368,14 @@
             self.handle_event(ev.LegFailed(leg, True, "encoded body"))
             return
         is_other_upstream = response.status == 421
+        is_unexecuted = is_other_upstream or self._header_names.unexecuted in by_name
+        if is_unexecuted:
+            leg.query.request.record_rejection(response.connection)
         event = ev.LegAnswered(
             leg,
             response.status,
             by_name.get(self._header_names.signature, b""),
-            is_other_upstream or self._header_names.unexecuted in by_name,
+            is_unexecuted,
             is_other_upstream,
             _parse_load(by_name.get(self._header_names.load)),
             response,
--- a/src/heatherpick/_net/http_client.py
+++ b/src/heatherpick/_net/http_client.py
@@ -59,15 +59,18 @@
         All headers by lower-case name.
     body : bytes
         The body.
+    connection : ClientConnection
+        Connection that carried it.
     """
 
-    __slots__ = ("body", "by_name", "headers", "status")
+    __slots__ = ("body", "by_name", "connection", "headers", "status")
 
-    def __init__(self, status, headers, by_name, body):
+    def __init__(self, status, headers, by_name, body, connection):
         self.status = status
         self.headers = headers
         self.by_name = by_name
         self.body = body
+        self.connection = connection
 
 
 class Exchange:
@@ -100,11 +103,16 @@
         interim response.
     max_body_bytes : int, default=MAX_RESPONSE_BODY_BYTES
         Limit on the response's body.
+    excluded_connections : collection of ClientConnection, default=()
+        Connections that must not carry the request. A second copy of a response to
+        the same request may still arrive there, and has the same id as the response
+        that is expected.
     """
 
     __slots__ = (
         "connection",
         "context",
+        "excluded_connections",
         "expects_body",
         "id_header",
         "is_repeatable",
@@ -129,6 +137,7 @@
         on_sending=None,
         on_accepted=None,
         max_body_bytes=MAX_RESPONSE_BODY_BYTES,
+        excluded_connections=(),
     ):
         self.request_bytes = request_bytes
         self.on_done = on_done
@@ -140,6 +149,7 @@
         self.on_sending = on_sending
         self.on_accepted = on_accepted
         self.max_body_bytes = max_body_bytes
+        self.excluded_connections = excluded_connections
         self.connection = None
         self.pool = None
 
@@ -376,7 +386,9 @@
         )
 
     def _build_response(self):
-        return Response(self._status, self._headers, self._by_name, bytes(self._body))
+        return Response(
+            self._status, self._headers, self._by_name, bytes(self._body), self
+        )
 
     def _finish_exchange(self):
         exchange, self._exchange = self._exchange, None
@@ -492,8 +504,11 @@
             Whether the request was sent at once.
         """
         exchange.pool = self
-        connection = self._pop_idle(exchange.is_repeatable)
-        if connection is None and len(self._connections) < self.max_connections:
+        connection = self._pop_idle(exchange)
+        if connection is None and self._idle and not self._may_open:
+            # All idle connections are excluded; one makes room for a new one.
+            self._idle[0].abandon()
+        if connection is None and self._may_open:
             connection = self._open_connection()
         if connection is None:
             self._waiting.append(exchange)
@@ -501,6 +516,10 @@
         connection.send(exchange)
         return not connection.is_connecting
 
+    @property
+    def _may_open(self):
+        return len(self._connections) < self.max_connections
+
     def remove_waiting(self, exchange):
         """Remove an exchange from the queue."""
         if exchange in self._waiting:
@@ -508,20 +527,25 @@
 
     def release(self, connection):
         """Reuse a connection for the next queued exchange, or keep it idle."""
-        if self._waiting:
-            exchange = self._waiting.popleft()
-            if exchange.on_sending is not None:
-                exchange.on_sending(exchange)
-            connection.send(exchange)
-        else:
+        if not self._waiting:
             self._idle.append(connection)
+            return
+        for exchange in self._waiting:
+            if connection not in exchange.excluded_connections:
+                self._waiting.remove(exchange)
+                if exchange.on_sending is not None:
+                    exchange.on_sending(exchange)
+                connection.send(exchange)
+                return
+        # A new connection takes its place, and the first queued exchange.
+        connection.abandon()
 
     def handle_closed(self, connection):
         """Remove a closed connection; open another if exchanges are queued."""
         self._connections.discard(connection)
         if connection in self._idle:
             self._idle.remove(connection)
-        if self._waiting and len(self._connections) < self.max_connections:
+        if self._waiting and self._may_open:
             self._open_connection().send(self._waiting.popleft())
 
     def close(self):
@@ -538,14 +562,17 @@
             if now - connection.idle_since > connection.idle_limit_s:
                 connection.abandon()
 
-    def _pop_idle(self, is_repeatable):
+    def _pop_idle(self, exchange):
+        """Remove and return the newest idle connection that may carry an exchange."""
         now = self.loop.seconds()
-        while self._idle:
-            connection = self._idle.pop()
+        for connection in reversed(self._idle.copy()):
+            if connection in exchange.excluded_connections:
+                continue
             limit_s = connection.idle_limit_s
-            if not is_repeatable:
+            if not exchange.is_repeatable:
                 limit_s = min(limit_s, UNREPEATABLE_IDLE_LIMIT_S)
             if now - connection.idle_since <= limit_s:
+                self._idle.remove(connection)
                 return connection
             connection.abandon()
         return None
--- a/tests/direct/test_streams.py
+++ b/tests/direct/test_streams.py
@@ -205,3 +205,51 @@
     connection.sendall(FRAMED_HEAD + b"two.")
     run_loop(loop)
     assert [first[0][0].body, second[0][0].body] == [b"one.", b"two."]
+
+
+def send_excluding(loop, upstream, pool, connections):
+    """Send a request on none of some connections; return its outcomes."""
+    outcomes = Outcomes()
+    exchange = Exchange(
+        b"GET / HTTP/1.1\r\n\r\n",
+        outcomes.record,
+        b"a",
+        b"id",
+        excluded_connections=connections,
+    )
+    pool.send(exchange)
+    return outcomes
+
+
+def answer_next(loop, upstream):
+    run_loop(loop)
+    connection = upstream.accept()
+    connection.recv(1000)
+    connection.sendall(FRAMED_HEAD + b"body")
+    run_loop(loop)
+
+
+def test_excluded_idle_connection_makes_room_for_a_new_one(loop, upstream):
+    # Guards against a request that waits for ever where only excluded ones are idle.
+    pool = ConnectionPool(loop, "127.0.0.1", upstream.port, 1)
+    first, _, _ = run_exchange(loop, upstream, FRAMED_HEAD + b"body", None, pool)
+    connection = first[0][0].connection
+    outcomes = send_excluding(loop, upstream, pool, {connection})
+    answer_next(loop, upstream)
+    assert outcomes[0][0].connection is not connection
+    assert connection.is_closed
+
+
+def test_queued_request_is_not_sent_on_an_excluded_connection(loop, upstream):
+    pool = ConnectionPool(loop, "127.0.0.1", upstream.port, 1)
+    first = Outcomes()
+    send_request(loop, upstream, first, pool)
+    run_loop(loop)
+    (busy,) = pool._connections
+    outcomes = send_excluding(loop, upstream, pool, {busy})
+    connection = upstream.accept()
+    connection.recv(1000)
+    connection.sendall(FRAMED_HEAD + b"body")
+    answer_next(loop, upstream)
+    assert [each[0].connection for each in first] == [busy]
+    assert outcomes[0][0].connection is not busy
