Accept no response without the id where the upstream repeats ids

A response without the request's id counted for any request on its connection.

A connection on which the peer has repeated an id now treats a response without one like a response to another request: it is dropped, the expected one may follow, and the connection is not used again. Peers that never repeat ids are served as before.

The new test failed before: the answer was the copy (b'copy' == b'mine').

--- a/src/heatherpick/_net/http_client.py
+++ b/src/heatherpick/_net/http_client.py
@@ -204,6 +204,7 @@
         "_n_body_bytes",
         "_n_read_bytes",
         "_parser",
+        "_repeats_ids",
         "_status",
         "idle_limit_s",
         "idle_since",
@@ -219,6 +220,8 @@
         self._exchange = None
         self._must_close = False
         self._n_read_bytes = 0
+        # Whether the peer has repeated the id of any request on this connection.
+        self._repeats_ids = False
         self._reset_response()
         error_code = sock.connect_ex((pool.host, pool.port))
         super().__init__(loop, sock, is_connecting=True)
@@ -378,12 +381,18 @@
         self._finish_exchange()
 
     def _is_response_to(self, exchange):
+        """Return whether the response belongs to an exchange, by the request's id.
+
+        A peer that repeats ids does so in every response, so one without an id is
+        garbled or belongs to no request.
+        """
+        if not exchange.id_header:
+            return True
         repeated_id = self._by_name.get(exchange.id_header)
-        return (
-            not exchange.id_header
-            or repeated_id is None
-            or repeated_id == exchange.request_id
-        )
+        if repeated_id is None:
+            return not self._repeats_ids
+        self._repeats_ids = True
+        return repeated_id == exchange.request_id
 
     def _build_response(self):
         return Response(
--- a/tests/direct/test_streams.py
+++ b/tests/direct/test_streams.py
@@ -253,3 +253,38 @@
     answer_next(loop, upstream)
     assert [each[0].connection for each in first] == [busy]
     assert outcomes[0][0].connection is not busy
+
+
+HEAD_WITHOUT_ID = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n"
+
+
+def test_response_without_the_id_is_dropped_where_the_upstream_repeats_ids(
+    loop, upstream
+):
+    # Guards against a second copy without an id that answers another request.
+    pool = ConnectionPool(loop, "127.0.0.1", upstream.port, 1)
+    _, _, connection = run_exchange(loop, upstream, FRAMED_HEAD + b"body", None, pool)
+    outcomes = Outcomes()
+    send_request(loop, upstream, outcomes, pool)
+    run_loop(loop)
+    connection.recv(1000)
+    connection.sendall(HEAD_WITHOUT_ID + b"copy" + FRAMED_HEAD + b"mine")
+    run_loop(loop)
+    assert [each[0].body for each in outcomes] == [b"mine"]
+    assert not pool.n_open
+
+
+def test_response_without_the_id_counts_where_the_upstream_never_repeats_ids(
+    loop, upstream
+):
+    pool = ConnectionPool(loop, "127.0.0.1", upstream.port, 1)
+    first, _, connection = run_exchange(
+        loop, upstream, HEAD_WITHOUT_ID + b"body", None, pool
+    )
+    outcomes = Outcomes()
+    send_request(loop, upstream, outcomes, pool)
+    run_loop(loop)
+    connection.recv(1000)
+    connection.sendall(HEAD_WITHOUT_ID + b"next")
+    run_loop(loop)
+    assert [each[0].body for each in first + outcomes] == [b"body", b"next"]
