Forget the response before when a connection is used again

A response without a length is complete when its connection ends in order. The connection kept status and headers of the response before, so if that had no length, such as a 204, and the peer closed without answering the next request, the old response counted once more, unless the ids differed. Found by reading while looking at heads that break off.

The new test failed before: the outcome was a response instead of a failure.

--- a/src/heatherpick/_net/http_client.py
+++ b/src/heatherpick/_net/http_client.py
@@ -251,6 +251,8 @@
         """Start an exchange on this idle or connecting connection."""
         self._exchange = exchange
         self._n_read_bytes = 0
+        # An end of the connection must not be evaluated with the response before.
+        self._reset_response()
         exchange.connection = self
         if not self._is_connecting:
             self.write(exchange.request_bytes)
--- a/tests/direct/test_streams.py
+++ b/tests/direct/test_streams.py
@@ -288,3 +288,18 @@
     connection.sendall(HEAD_WITHOUT_ID + b"next")
     run_loop(loop)
     assert [each[0].body for each in first + outcomes] == [b"body", b"next"]
+
+
+def test_close_without_a_response_does_not_repeat_the_response_before(loop, upstream):
+    # Guards against a 204, which has no length, that counts for the next request too.
+    pool = ConnectionPool(loop, "127.0.0.1", upstream.port, 1)
+    _, _, connection = run_exchange(
+        loop, upstream, b"HTTP/1.1 204 No Content\r\n\r\n", None, pool
+    )
+    outcomes = Outcomes()
+    send_request(loop, upstream, outcomes, pool)
+    run_loop(loop)
+    connection.recv(1000)
+    connection.close()
+    run_loop(loop)
+    assert [(each[0], each[1]) for each in outcomes] == [(None, True)]
