Execute each effect by itself, so that a failing one loses no other

Cause: effects ran in one loop without a guard, so an exception in SendLeg lost SetTimer behind it, the request's only timer. The exception left through a callback of the HTTP parser, which the connection takes for an invalid request that has to wait for the active one. Evidence: with a hook on the effect, UnicodeEncodeError below on_message_complete; 3 s later no byte sent, the request active, its timer None, the log empty. Ruled out: the name alone; any exception on that path does the same.

Fix: each effect is executed and logged by itself. A leg, hand-over or group that raised has failed and is retried elsewhere, an answer that raised ends its connection, an event that the reducer cannot handle is answered with 500. Callbacks that connections call are guarded, so that none crosses the parser.

--- a/src/heatherpick/_net/callers.py
+++ b/src/heatherpick/_net/callers.py
@@ -252,10 +252,10 @@
     def connection_lost(self, reason, was_clean):
         """Drop the requests of the connection."""
         self._stop_timer()
-        if self._active is not None:
-            self.owner.handle_disconnect(self._active)
-            self._active = None
+        active, self._active = self._active, None
         self._queue.clear()
+        if active is not None:
+            self.loop.call_guarded(self.owner.handle_disconnect, active)
         self.owner.handle_closed(self)
 
     def _check_framing(self):
@@ -352,7 +352,8 @@
             # The caller has disconnected, for instance while this VM was paused.
             return
         self._active = request
-        self.owner.handle_request(request)
+        if not self.loop.call_guarded(self.owner.handle_request, request):
+            request.respond(500, (), b"internal error")
 
     def send_response(self, request, status, headers, body):
         """Write the response to the active request and start the next one."""
@@ -392,6 +393,12 @@
             self.close()
             self.owner.handle_closed(self)
 
+    def abort(self):
+        """Close the connection at once, without an answer to the active request."""
+        self._stop_timer()
+        self._active = None
+        self._close_now()
+
     def _reject_request(self, status):
         """Respond to an invalid request after those before it, and close."""
         self._error_status = status
--- a/src/heatherpick/_net/gateway.py
+++ b/src/heatherpick/_net/gateway.py
@@ -112,6 +112,17 @@
             fx.SetTimer: self._set_query_timer,
             fx.Report: self._write_report,
         }
+        # What is done in place of an effect that raised an exception.
+        self._failure_handlers = {
+            fx.SendLeg: self._fail_leg,
+            fx.HandOver: self._fail_hand_over,
+            fx.SendGroup: self._fail_group,
+            fx.Forward: self._abort_request,
+            fx.Merge: self._abort_request,
+            fx.Refuse: self._abort_request,
+            fx.AnswerGroup: self._abort_request,
+            fx.DeclineHandOver: self._abort_request,
+        }
         self._exchanges = {}
         loop.call_later(SWEEP_INTERVAL_S, self._sweep)
 
@@ -157,16 +168,55 @@
             connection.close_if_idle()
 
     def handle_event(self, event):
-        """Pass an event to the reducer and execute the effects."""
+        """Pass an event to the reducer and execute the effects.
+
+        An effect that raises an exception costs at most the request that it is about:
+        the effects behind it are executed, and a leg that could not be sent has failed.
+        """
         started_at = self._loop.seconds()
         has_merged = False
-        for effect in self._reducer.reduce(event, started_at):
-            self._handlers[type(effect)](effect)
+        failed = []
+        for effect in self._reduce(event, started_at):
+            if not self._loop.call_guarded(self._handlers[type(effect)], effect):
+                failed.append(effect)
             has_merged = has_merged or type(effect) is fx.Merge
+        for effect in failed:
+            handler = self._failure_handlers.get(type(effect))
+            if handler is not None:
+                handler(effect)
         if has_merged:
             elapsed_ms = (self._loop.seconds() - started_at) * 1000.0
             self._reducer.reduce(ev.AnswerWritten(elapsed_ms), self._loop.seconds())
 
+    def _reduce(self, event, now):
+        try:
+            return self._reducer.reduce(event, now)
+        except Exception as error:
+            self._loop.report_failure(self._reducer.reduce, error)
+            if event.request is None:
+                return ()
+            return (fx.Refuse(event.request, 500, None, "internal error"),)
+
+    # Effects that raised an exception
+
+    def _fail_leg(self, effect):
+        exchange = self._exchanges.pop(effect.leg, None)
+        was_sent = exchange is not None and exchange.connection is not None
+        if exchange is not None:
+            exchange.cancel()
+        self.handle_event(ev.LegFailed(effect.leg, was_sent, "internal error"))
+
+    def _fail_hand_over(self, effect):
+        self._search_client.cancel(effect.query)
+        self.handle_event(ev.HandOverFailed(effect.query, "internal error"))
+
+    def _fail_group(self, effect):
+        self._group_client.cancel(effect.group)
+        self.handle_event(ev.GroupFailed(effect.group, True, False, "internal error"))
+
+    def _abort_request(self, effect):
+        effect.request.connection.abort()
+
     # Callers
 
     def _accept_connection(self, sock):
--- a/src/heatherpick/_net/http_client.py
+++ b/src/heatherpick/_net/http_client.py
@@ -163,7 +163,22 @@
         on_done, self.on_done = self.on_done, None
         self.connection = None
         if on_done is not None:
-            on_done(self, response, was_sent, reason)
+            self._notify(on_done, self, response, was_sent, reason)
+
+    def report_sending(self):
+        """Report that a request that had to wait is being sent."""
+        if self.on_sending is not None:
+            self._notify(self.on_sending, self)
+
+    def report_acceptance(self):
+        """Report that the peer has accepted the request."""
+        if self.on_accepted is not None:
+            self._notify(self.on_accepted, self)
+
+    def _notify(self, callback, *args):
+        # The connection must be returned to its pool whatever the callback raises, and
+        # the parser's callbacks would replace the exception.
+        self.pool.loop.call_guarded(callback, *args)
 
     def cancel(self):
         """Drop the outcome and close the connection, if one is in use."""
@@ -258,8 +273,7 @@
             self.write(exchange.request_bytes)
 
     def _send_deferred(self, exchange):
-        if exchange.on_sending is not None:
-            exchange.on_sending(exchange)
+        exchange.report_sending()
         self.write(exchange.request_bytes)
 
     def abandon(self):
@@ -346,8 +360,8 @@
         exchange = self._exchange
         if exchange is None:
             return
-        if self._status == PROCESSING_STATUS and exchange.on_accepted is not None:
-            exchange.on_accepted(exchange)
+        if self._status == PROCESSING_STATUS:
+            exchange.report_acceptance()
         elif not exchange.expects_body and self._status >= 200:
             self._finish_exchange()
             self._discard()
@@ -544,8 +558,7 @@
         for exchange in self._waiting:
             if connection not in exchange.excluded_connections:
                 self._waiting.remove(exchange)
-                if exchange.on_sending is not None:
-                    exchange.on_sending(exchange)
+                exchange.report_sending()
                 connection.send(exchange)
                 return
         # A new connection takes its place, and the first queued exchange.
--- a/src/heatherpick/_net/loop.py
+++ b/src/heatherpick/_net/loop.py
@@ -142,11 +142,11 @@
         for fd, events in self._epoll.poll(wait_s, MAX_EVENTS_PER_ITERATION):
             handler = self._handlers.get(fd)
             if handler is not None:
-                self._call(handler, events)
+                self.call_guarded(handler, events)
         while self._pending_calls:
             calls, self._pending_calls = self._pending_calls, []
             for function, args in calls:
-                self._call(function, *args)
+                self.call_guarded(function, *args)
         now = self.seconds()
         while timers and timers[0].due_s <= now:
             timer = heappop(timers)
@@ -155,18 +155,34 @@
                 self._n_cancelled -= 1
                 continue
             timer.function = None
-            self._call(function, *timer.args)
+            self.call_guarded(function, *timer.args)
 
-    def _call(self, function, *args):
+    def call_guarded(self, function, *args):
+        """Call a function now, and log an exception that it raises.
+
+        Callers use this where work of their own must follow, whatever the function
+        does, and where an exception would leave through a callback of a C library.
+
+        Returns
+        -------
+        bool
+            Whether the function returned without an exception.
+        """
         try:
             function(*args)
         except Exception as error:
-            self._report(
-                "handler failed",
-                handler=getattr(function, "__qualname__", repr(function)),
-                error=repr(error),
-                place=_format_location(error),
-            )
+            self.report_failure(function, error)
+            return False
+        return True
+
+    def report_failure(self, function, error):
+        """Log an exception that a function raised."""
+        self._report(
+            "handler failed",
+            handler=getattr(function, "__qualname__", repr(function)),
+            error=repr(error),
+            place=_format_location(error),
+        )
 
     def _read_signals(self, _events):
         for signal_number in os.read(self._wakeup_fd, 64):
--- a/src/heatherpick/_serving/events.py
+++ b/src/heatherpick/_serving/events.py
@@ -21,6 +21,39 @@
 ]
 
 
+class _QueryEvent:
+    """Base of the events about a query."""
+
+    __slots__ = ()
+
+    @property
+    def request(self):
+        """The request that the event is about."""
+        return self.query.request
+
+
+class _LegEvent:
+    """Base of the events about a leg."""
+
+    __slots__ = ()
+
+    @property
+    def request(self):
+        """The request that the event is about."""
+        return self.leg.query.request
+
+
+class _GroupEvent:
+    """Base of the events about a group of legs that another node sends."""
+
+    __slots__ = ()
+
+    @property
+    def request(self):
+        """The request that the event is about."""
+        return self.group.query.request
+
+
 @dataclass(frozen=True, slots=True)
 class RequestArrived:
     """A request of a caller, or a search of another node, was read completely.
@@ -56,21 +89,21 @@
 
 
 @dataclass(frozen=True, slots=True)
-class HandOverAccepted:
+class HandOverAccepted(_QueryEvent):
     """The node that was offered a search accepted it and is sending its legs."""
 
     query: object
 
 
 @dataclass(frozen=True, slots=True)
-class HandOverConfirmed:
+class HandOverConfirmed(_QueryEvent):
     """The node that handed a search over confirmed that it does not serve it itself."""
 
     query: object
 
 
 @dataclass(frozen=True, slots=True)
-class HandOverAnswered:
+class HandOverAnswered(_QueryEvent):
     """The node that was offered a search sent a complete response.
 
     Parameters
@@ -89,7 +122,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class HandOverFailed:
+class HandOverFailed(_QueryEvent):
     """The node that was offered a search sent no complete response.
 
     Parameters
@@ -140,7 +173,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class GroupAnswered:
+class GroupAnswered(_GroupEvent):
     """The node that gathers a group answered.
 
     Parameters
@@ -159,7 +192,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class GroupFailed:
+class GroupFailed(_GroupEvent):
     """The node that was to gather a group sent no valid answer.
 
     Parameters
@@ -186,16 +219,21 @@
 
     elapsed_ms: float
 
+    @property
+    def request(self):
+        """None, as the event is not about one request."""
+        return None
+
 
 @dataclass(frozen=True, slots=True)
-class CallerDisconnected:
+class CallerDisconnected(_QueryEvent):
     """A caller closed its connection before it was answered."""
 
     query: object
 
 
 @dataclass(frozen=True, slots=True)
-class LegAnswered:
+class LegAnswered(_LegEvent):
     """An upstream's response to a leg was read completely.
 
     Parameters
@@ -229,7 +267,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class LegFailed:
+class LegFailed(_LegEvent):
     """A leg ended without a complete response.
 
     Parameters
@@ -248,21 +286,21 @@
 
 
 @dataclass(frozen=True, slots=True)
-class LegQueued:
+class LegQueued(_LegEvent):
     """A leg waits for a connection, so no byte of it has been sent."""
 
     leg: object
 
 
 @dataclass(frozen=True, slots=True)
-class LegSent:
+class LegSent(_LegEvent):
     """A queued leg is being sent, so it may run from now on."""
 
     leg: object
 
 
 @dataclass(frozen=True, slots=True)
-class TimerExpired:
+class TimerExpired(_QueryEvent):
     """The time that `SetTimer` set for a query was reached."""
 
     query: object
--- /dev/null
+++ b/tests/direct/test_failures.py
@@ -0,0 +1,103 @@
+"""Tests of exceptions in a node, which cost at most the request they are about."""
+
+import pytest
+
+from heatherpick._serving.requests import RequestReducer
+from tests.direct.site import Caller, make_site
+
+
+@pytest.fixture
+def site():
+    return make_site()
+
+
+def make_raising(function, is_affected):
+    """Wrap a function that raises where ``is_affected(*args)`` holds."""
+
+    def call(*args):
+        if is_affected(*args):
+            raise RuntimeError("planted")
+        return function(*args)
+
+    return call
+
+
+def plant_effect_failure(site, name, is_affected=lambda effect: True):
+    """Let the handler of one kind of effect raise an exception."""
+    (handlers,) = [node._gateway._handlers for node in site.nodes]
+    (kind,) = [kind for kind in handlers if kind.__name__ == name]
+    handlers[kind] = make_raising(handlers[kind], is_affected)
+
+
+def test_leg_that_cannot_be_sent_loses_no_other_effect(site):
+    # Guards against a request whose timer is lost with the leg, and is never answered.
+    plant_effect_failure(site, "SendLeg")
+    caller = site.connect()
+    caller.send_request("/find/x")
+    status, headers, _ = caller.read_response()
+    assert status in (502, 503)
+    assert "retry-after" in headers
+    assert "planted" in site.loop_errors.find("handler failed")[0]["error"]
+
+
+def test_search_is_complete_although_the_legs_to_some_upstreams_cannot_be_sent(site):
+    broken = {"p0a", "p1a", "p2b"}
+    plant_effect_failure(
+        site, "SendLeg", lambda effect: effect.leg.upstream.entry.id in broken
+    )
+    caller = site.connect()
+    for number in range(5):
+        caller.send_request("/find/x", request_id=f"r{number}")
+        status, headers, _ = caller.read_response()
+        assert (status, headers["parts-missing"]) == (200, "0")
+
+
+def test_order_whose_leg_cannot_be_sent_runs_at_another_upstream(site):
+    plant_effect_failure(
+        site, "SendLeg", lambda effect: effect.leg.upstream.entry.id == "da"
+    )
+    caller = site.connect()
+    for number in range(5):
+        caller.send_request("/order/x", "POST", b"b", request_id=f"r{number}")
+        assert caller.read_response()[0] == 200
+    assert len(site.upstreams["db"].requests) == 5
+
+
+@pytest.mark.parametrize("name", ["Forward", "Merge", "Refuse"])
+def test_answer_that_cannot_be_written_ends_the_connection(site, name):
+    # Guards against a caller that waits for ever on an open connection.
+    plant_effect_failure(site, name)
+    caller = site.connect()
+    path = {"Forward": "/order/x", "Merge": "/find/x", "Refuse": "/none/x"}[name]
+    caller.send_request(path)
+    assert caller.read() == b""
+    assert caller.is_closed
+    site.run_for(0.05)
+    assert not site.nodes[0]._gateway.n_connections
+
+
+@pytest.mark.parametrize(
+    "handler", ["_handle_request", "_handle_leg_response", "_handle_timer"]
+)
+def test_request_whose_event_raises_is_answered(monkeypatch, handler):
+    monkeypatch.setattr(
+        RequestReducer,
+        handler,
+        make_raising(getattr(RequestReducer, handler), lambda *args: True),
+    )
+    site = make_site()
+    for upstream in site.upstreams.values():
+        if handler == "_handle_timer":
+            upstream.delay_s = 3.0
+    caller = site.connect()
+    caller.send_request("/order/x", "POST", b"b")
+    assert caller.read_response()[0] == 500
+
+
+def test_handler_of_any_server_that_raises_gets_an_answer(site):
+    # Guards against polls of other nodes that wait for ever.
+    node = site.nodes[0]
+    caller = Caller(site, node.settings.peers_address)
+    node._synchroniser._policy.record_request = make_raising(None, lambda *args: True)
+    caller.send(b"GET /changes?servers=0 HTTP/1.1\r\n\r\n")
+    assert caller.read_response()[0] == 500
