Fail exchanges, and pause accepting, when no socket can be opened

A process without file descriptors, or an address that connect rejects, raised in the middle of the pool: exchanges that waited for a connection were never finished, and a listener that could not accept was called again at once, 27,755 times in a quarter of a second.

A connection that cannot be opened now fails its exchange as not sent, which the reducer retries elsewhere or refuses as not run. The queue behind it is drained in the same way. A listener that cannot accept waits for 0.1 s.

Of the five new tests, four failed before: OverflowError from the pool (twice), no outcome instead of [True, False, False], 27,755 calls instead of at most 4.

--- a/src/heatherpick/_net/http_client.py
+++ b/src/heatherpick/_net/http_client.py
@@ -200,6 +200,11 @@
     pool : ConnectionPool
         Owns the connection and reuses it after each exchange.
 
+    Raises
+    ------
+    OSError, OverflowError
+        The process has no file descriptor left, or the address is invalid.
+
     Attributes
     ----------
     idle_since : float
@@ -238,8 +243,12 @@
         # Whether the peer has repeated the id of any request on this connection.
         self._repeats_ids = False
         self._reset_response()
-        error_code = sock.connect_ex((pool.host, pool.port))
-        super().__init__(loop, sock, is_connecting=True)
+        try:
+            error_code = sock.connect_ex((pool.host, pool.port))
+            super().__init__(loop, sock, is_connecting=True)
+        except (OSError, OverflowError):
+            sock.close()
+            raise
         self._connect_timer = loop.call_later(
             pool.connect_timeout_s, self._handle_connect_timeout
         )
@@ -533,13 +542,14 @@
         if connection is None and self._idle and not self._may_open:
             # All idle connections are excluded; one makes room for a new one.
             self._idle[0].abandon()
-        if connection is None and self._may_open:
-            connection = self._open_connection()
-        if connection is None:
+        if connection is not None:
+            connection.send(exchange)
+            return True
+        if self._may_open:
+            self._open_connection(exchange)
+        else:
             self._waiting.append(exchange)
-            return False
-        connection.send(exchange)
-        return not connection.is_connecting
+        return False
 
     @property
     def _may_open(self):
@@ -569,8 +579,8 @@
         self._connections.discard(connection)
         if connection in self._idle:
             self._idle.remove(connection)
-        if self._waiting and self._may_open:
-            self._open_connection().send(self._waiting.popleft())
+        while self._waiting and self._may_open:
+            self._open_connection(self._waiting.popleft())
 
     def close(self):
         """Close idle connections and fail queued exchanges."""
@@ -601,11 +611,17 @@
             connection.abandon()
         return None
 
-    def _open_connection(self):
-        connection = ClientConnection(self.loop, self)
+    def _open_connection(self, exchange):
+        """Send an exchange on a new connection, or fail it if none can be opened."""
+        try:
+            connection = ClientConnection(self.loop, self)
+        except (OSError, OverflowError) as error:
+            # Callers of `send` expect the outcome later.
+            self.loop.call_soon(exchange.finish, None, False, f"connect: {error}")
+            return
         self.n_opened += 1
         self._connections.add(connection)
-        return connection
+        connection.send(exchange)
 
 
 class PeerPools(dict):
--- a/src/heatherpick/_net/sockets.py
+++ b/src/heatherpick/_net/sockets.py
@@ -22,6 +22,9 @@
 N_KEEPALIVE_PROBES = 2
 #: Limit on the connections that wait to be accepted.
 BACKLOG = 1024
+#: Pause after a connection could not be accepted, such as for a lack of file
+#: descriptors, in seconds.
+ACCEPT_RETRY_S = 0.1
 
 #: Offset of the smoothed round trip time in the kernel's ``struct tcp_info``, where it
 #: is a 32 bit number of microseconds, and the bytes of the structure that are read.
@@ -250,12 +253,18 @@
     def __init__(self, loop, host, port, on_accept):
         self._loop = loop
         self._on_accept = on_accept
+        self._is_closed = False
         self._sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self._sock.setblocking(False)
         self._sock.bind((host, port))
         self._sock.listen(BACKLOG)
-        loop.watch(self._sock.fileno(), select.EPOLLIN, self._handle_events)
+        self._watch()
+
+    def _watch(self):
+        if not self._is_closed:
+            fd = self._sock.fileno()
+            self._loop.watch(fd, select.EPOLLIN, self._handle_events)
 
     @property
     def address(self):
@@ -264,6 +273,7 @@
 
     def close(self):
         """Stop listening."""
+        self._is_closed = True
         self._loop.unwatch(self._sock.fileno())
         self._sock.close()
 
@@ -273,6 +283,12 @@
                 sock, _ = self._sock.accept()
             except (BlockingIOError, InterruptedError, ConnectionAbortedError):
                 return
+            except OSError as error:
+                # The connection is still waiting, so the loop would call at once again.
+                self._loop.report_failure(self._handle_events, error)
+                self._loop.unwatch(self._sock.fileno())
+                self._loop.call_later(ACCEPT_RETRY_S, self._watch)
+                return
             sock.setblocking(False)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             enable_dead_peer_detection(sock)
--- a/tests/direct/test_failures.py
+++ b/tests/direct/test_failures.py
@@ -1,9 +1,16 @@
 """Tests of exceptions in a node, which cost at most the request they are about."""
 
+import errno
+import socket
+
 import pytest
 
+from heatherpick._net import http_client
+from heatherpick._net.http_client import ConnectionPool, Exchange
+from heatherpick._net.loop import EventLoop
+from heatherpick._net.sockets import ACCEPT_RETRY_S, Listener
 from heatherpick._serving.requests import RequestReducer
-from tests.direct.site import Caller, make_site
+from tests.direct.site import HOST, Caller, RecordedLog, make_order, make_site
 
 
 @pytest.fixture
@@ -101,3 +108,89 @@
     node._synchroniser._policy.record_request = make_raising(None, lambda *args: True)
     caller.send(b"GET /changes?servers=0 HTTP/1.1\r\n\r\n")
     assert caller.read_response()[0] == 500
+
+
+# File descriptors
+
+
+def raise_no_descriptors(*_args):
+    raise OSError(errno.EMFILE, "too many open files")
+
+
+def test_node_without_descriptors_refuses_at_once_and_recovers(site, monkeypatch):
+    # Guards against requests that are never answered while no socket can be opened.
+    site.publish([make_order()])
+    site.run_for(0.6)
+    caller = site.connect()
+    with monkeypatch.context() as patch:
+        patch.setattr(http_client, "open_stream_socket", raise_no_descriptors)
+        caller.send_request("/order/x", "POST", b"b")
+        status, headers, _ = caller.read_response()
+        assert status == 503
+        assert "retry-after" in headers
+    caller.send_request("/order/x", "POST", b"b", request_id="r2")
+    assert caller.read_response()[0] == 200
+
+
+@pytest.mark.parametrize("address", [(HOST, 70000), (HOST, -1)])
+def test_pool_of_an_invalid_address_fails_its_exchanges(address):
+    log = RecordedLog()
+    loop = EventLoop(log.report)
+    pool = ConnectionPool(loop, *address, 1)
+    outcomes = []
+    for _ in range(3):
+        pool.send(Exchange(b"", lambda *outcome: outcomes.append(outcome[1:])))
+    loop.run_once(0.05)
+    assert [(response, was_sent) for response, was_sent, _ in outcomes] == 3 * [
+        (None, False)
+    ]
+    assert not pool.n_open
+
+
+def test_exchanges_that_wait_fail_when_no_connection_can_be_opened(monkeypatch):
+    # Guards against exchanges that wait for ever behind the last connection's end.
+    log = RecordedLog()
+    loop = EventLoop(log.report)
+    with socket.create_server((HOST, 0)) as server:
+        pool = ConnectionPool(loop, *server.getsockname(), 1)
+        outcomes = []
+        for _ in range(3):
+            pool.send(Exchange(b"x", lambda *outcome: outcomes.append(outcome[2])))
+        loop.run_once(0.05)
+        connection, _ = server.accept()
+        monkeypatch.setattr(http_client, "open_stream_socket", raise_no_descriptors)
+        connection.close()
+        for _ in range(5):
+            loop.run_once(0.05)
+    assert outcomes == [True, False, False]
+
+
+def test_listener_that_cannot_accept_tries_again_after_a_pause():
+    # Guards against a loop that does nothing but fail to accept.
+    log = RecordedLog()
+    loop = EventLoop(log.report)
+    accepted = []
+    listener = Listener(loop, HOST, 0, accepted.append)
+
+    class ExhaustedSocket:
+        def __init__(self, sock):
+            self.sock = sock
+
+        def __getattr__(self, name):
+            return getattr(self.sock, name)
+
+        accept = staticmethod(raise_no_descriptors)
+
+    working = listener._sock
+    listener._sock = ExhaustedSocket(working)
+    with socket.create_connection(listener.address):
+        started_at = loop.seconds()
+        while loop.seconds() < started_at + 2.5 * ACCEPT_RETRY_S:
+            loop.run_once(0.01)
+        assert 1 <= len(log) <= 4
+        listener._sock = working
+        while not accepted and loop.seconds() < started_at + 5.0:
+            loop.run_once(0.01)
+        assert accepted
+    accepted[0].close()
+    listener.close()
