Take on a planned stop only what can finish, and answer the rest

Operators of a similar system saw it with a single node and callers that stay on open connections.

Cause: a stopping node took every request until it exited at 93% of its grace period, and dropped what was open. Evidence: in the record of the case before the fix all 36 cut requests were sent 5.22 to 5.62 s after the SIGTERM, the nodes exited 5.65 s after it, and an upstream takes 0.11 to 0.33 s. Ruled out: earlier requests and kept connections, none of which was cut.

Fix: the reducer learns by when each request must be answered. A request is taken if its own limit, or three times its route's late age and at least its objective, ends before that; any other is refused at once as not run. What is open then gets its final answer, and the node exits once callers could read it.

The same cause on related paths: requests pipelined behind the one that ends the connection had been read and got no answer; they are answered now.

All eight new tests failed before: among others six callers cut at the exit, 504 for an order that was passed on 0.16 s before the end, no answer at all to requests that outlast the grace period.

--- a/src/heatherpick/_net/callers.py
+++ b/src/heatherpick/_net/callers.py
@@ -205,6 +205,11 @@
         """Whether the connection has no request, not even part of one."""
         return self._active is None and not self._queue and self._n_head_bytes == 0
 
+    @property
+    def active_request(self):
+        """The request that is being served, or None."""
+        return self._active
+
     def estimate_network_ms(self):
         """Return the network time of the active request in milliseconds.
 
@@ -360,7 +365,10 @@
         if self.is_closed:
             return
         self.is_first_request = False
-        is_last_response = not request.keeps_alive or self.owner.is_stopping
+        # Requests that were already read are answered before a stopping node closes.
+        is_last_response = not request.keeps_alive or (
+            self.owner.is_stopping and not self._queue
+        )
         self.write(
             build_response(
                 status, headers, body, is_last_response, request.method == b"HEAD"
--- a/src/heatherpick/_net/gateway.py
+++ b/src/heatherpick/_net/gateway.py
@@ -131,9 +131,23 @@
         """Whether connections are closed after their next response."""
         return self._is_stopping or self._isolation.is_isolated(self._loop.seconds())
 
-    def begin_stop(self):
-        """Close each connection after its next response from now on."""
+    def begin_stop(self, answer_by):
+        """Close each connection after its last response from now on.
+
+        Parameters
+        ----------
+        answer_by : float
+            Time in seconds by which each request must have its final answer.
+        """
         self._is_stopping = True
+        self.handle_event(ev.StopBegan(answer_by))
+
+    def end_serving(self):
+        """Answer all open requests, as the node is about to exit."""
+        for connection in list(self._connections):
+            request = connection.active_request
+            if request is not None and request.query is not None:
+                self.handle_event(ev.ServingEnded(request.query))
 
     @property
     def limits(self):
--- a/src/heatherpick/_net/node.py
+++ b/src/heatherpick/_net/node.py
@@ -24,8 +24,10 @@
 #: Time for which a stopping node still accepts connections, in seconds. The balancer
 #: checks readiness each second and needs two failed checks.
 ACCEPT_AFTER_STOP_S = 2.6
-#: Part of the grace period after which a stopping node exits in any case.
-STOP_DEADLINE_SHARE = 0.93
+#: Part of the grace period after which a stopping node answers every request that is
+#: still open, and part after which it exits in any case.
+ANSWER_DEADLINE_SHARE = 0.93
+EXIT_DEADLINE_SHARE = 0.97
 #: First and longest backoff before this node's entry is written again after a failure,
 #: in seconds; each further failure doubles it.
 REGISTER_BACKOFF_S = 1.0
@@ -293,6 +295,7 @@
         self._synchroniser.on_store_contact = self._isolation.record_contact
         self._readiness_path = readiness_path
         self._stop_started_at = None
+        self._exit_by = None
         self._was_isolated = False
 
     @property
@@ -384,20 +387,26 @@
         self.reload()
 
     def begin_stop(self):
-        """Report not ready, finish the accepted requests, then stop the loop."""
+        """Report not ready, finish the accepted requests, then stop the loop.
+
+        Callers may come until the node exits, as the balancer uses nodes that are not
+        ready where it has too few others. A request that is likely to finish in time is
+        served, any other is refused as not run.
+        """
         if self._stop_started_at is not None:
             return
-        self._stop_started_at = self._loop.seconds()
-        self._gateway.begin_stop()
+        now = self._stop_started_at = self._loop.seconds()
+        grace_s = self._settings.stop_grace_s
+        answer_by = now + ANSWER_DEADLINE_SHARE * grace_s
+        self._exit_by = now + EXIT_DEADLINE_SHARE * grace_s
+        self._gateway.begin_stop(answer_by)
         self._log.report("stopping", active=self._gateway.n_active_connections)
         self._loop.call_later(ACCEPT_AFTER_STOP_S, self._gateway.close_idle_connections)
         self._loop.call_later(ACCEPT_AFTER_STOP_S + STOP_POLL_S, self._poll_stop)
+        self._loop.call_at(answer_by, self._gateway.end_serving)
 
     def _poll_stop(self):
-        elapsed_s = self._loop.seconds() - self._stop_started_at
-        is_past_deadline = (
-            elapsed_s >= STOP_DEADLINE_SHARE * self._settings.stop_grace_s
-        )
+        is_past_deadline = self._loop.seconds() >= self._exit_by
         if is_past_deadline or not self._gateway.n_connections:
             self._gateway.stop_accepting()
             self._log.report("stopped", active=self._gateway.n_active_connections)
--- a/src/heatherpick/_serving/completion.py
+++ b/src/heatherpick/_serving/completion.py
@@ -102,6 +102,14 @@
             query, status, "isolated", self._isolation.retry_after_s, now, effects
         )
 
+    def refuse_stopping(self, query, now, effects):
+        """Refuse a request that would not finish before this node exits.
+
+        Any other node may serve it, so the caller need not wait.
+        """
+        self.finish(query, now, effects)
+        self._send_refusal(query, 503, "stopping", MIN_RETRY_AFTER_S, now, effects)
+
     def refuse(self, query, status, reason, now, effects):
         """Finish a request without a result."""
         self.finish(query, now, effects)
--- a/src/heatherpick/_serving/events.py
+++ b/src/heatherpick/_serving/events.py
@@ -14,6 +14,8 @@
     "LegQueued",
     "LegSent",
     "RequestArrived",
+    "ServingEnded",
+    "StopBegan",
     "TimerExpired",
     "GroupAnswered",
     "GroupArrived",
@@ -304,3 +306,28 @@
     """The time that `SetTimer` set for a query was reached."""
 
     query: object
+
+
+@dataclass(frozen=True, slots=True)
+class StopBegan:
+    """A planned stop of this node began.
+
+    Parameters
+    ----------
+    answer_by : float
+        Time in seconds by which each request must have its final answer.
+    """
+
+    answer_by: float
+
+    @property
+    def request(self):
+        """None, as the event is not about one request."""
+        return None
+
+
+@dataclass(frozen=True, slots=True)
+class ServingEnded(_QueryEvent):
+    """The node is about to exit, so a request gets its final answer now."""
+
+    query: object
--- a/src/heatherpick/_serving/requests.py
+++ b/src/heatherpick/_serving/requests.py
@@ -37,6 +37,9 @@
 #: Searches of other nodes that an aggregator runs concurrently. With more of them
 #: sharing its link, they would be no faster than on a slow one.
 MAX_PEER_SEARCHES = 8
+#: Time that a request is given to finish on a stopping node, as a multiple of the age
+#: at which its route's legs are late; the objective, if that is longer.
+STOP_LATENCY_RATIO = 3.0
 #: Characters of a path that a log line shows.
 MAX_LOGGED_PATH_CHARS = 100
 
@@ -67,6 +70,8 @@
         self._directory = directory
         self._rng = rng
         self._snapshot = None
+        # Time in seconds by which a stopping node has answered everything.
+        self._answer_by = None
         self._extra_budget = ExtraLegBudget(extra_share, extra_slack)
         self._cold_limiter = ColdRateLimiter(own_address)
         self._isolation = isolation
@@ -94,6 +99,8 @@
             ev.LegSent: self._handle_leg_sent,
             ev.CallerDisconnected: self._handle_disconnect,
             ev.TimerExpired: self._handle_timer,
+            ev.StopBegan: self._handle_stop,
+            ev.ServingEnded: self._handle_end_of_serving,
             ev.AnswerWritten: self._completer.record_answer_cost,
             ev.HandOverAccepted: self._hand_overs.handle_acceptance,
             ev.HandOverConfirmed: self._handle_confirmation,
@@ -183,6 +190,9 @@
             now - event.age_ms / 1000.0,
         )
         self._set_deadlines(query, event)
+        if not self._may_finish(query, now):
+            self._completer.refuse_stopping(query, now, effects)
+            return
         if is_for_peer:
             query.is_for_peer = True
             self._completer.n_peer_searches += 1
@@ -191,6 +201,16 @@
             return
         self._serve(query, now, effects)
 
+    def _may_finish(self, query, now):
+        """Return whether a request is likely to finish before a planned stop ends."""
+        if self._answer_by is None:
+            return True
+        latency = self._find_route_latency(query.route)
+        expected_ms = max(
+            query.route.objective_ms, STOP_LATENCY_RATIO * latency.late_after_ms
+        )
+        return min(query.deadline, now + expected_ms / 1000.0) <= self._answer_by
+
     def _may_aggregate(self, event, effects):
         """Return whether to run a search of another node, and decline it if not."""
         version = None if self._snapshot is None else self._snapshot.version
@@ -456,6 +476,24 @@
                 self._dispatcher.hedge_if_late(query, shard, now, effects)
         self._continue(query, now, effects)
 
+    # Planned stop
+
+    def _handle_stop(self, event, now, effects):
+        self._answer_by = event.answer_by
+
+    def _handle_end_of_serving(self, event, now, effects):
+        """Answer a request that is still open when the node is about to exit."""
+        query = event.query
+        if type(query) is PeerGroup:
+            self._group_server.handle_timeout(query, now, effects)
+        elif query.is_finished:
+            return
+        elif query.aggregator is not None:
+            effects.append(fx.CancelHandOver(query))
+            self._completer.refuse(query, 502, "stopping", now, effects)
+        else:
+            self._completer.answer_or_refuse(query, now, effects)
+
     # Callers that disconnect
 
     def _handle_disconnect(self, event, now, effects):
