Keep new connections of a stopping node until their first request

A stopping node closes idle connections each 0.1 s, also ones that were accepted a moment before and whose request was on the way. None of the requests had been read, so no rule is broken, but each cost its caller an attempt.

A connection without a request is now closed only from an age of 0.5 s. The new test failed before: no answer in 5 s.

--- a/src/heatherpick/_net/callers.py
+++ b/src/heatherpick/_net/callers.py
@@ -8,6 +8,9 @@
 
 __all__ = ["CallerConnection", "CallerRequest", "build_response"]
 
+#: Age up to which a connection without a request counts as new, in seconds: its first
+#: request may be on the way.
+NEW_CONNECTION_S = 0.5
 #: Pipelined requests that may wait on a connection; with more, reading is paused.
 MAX_PIPELINED = 8
 #: Most bytes of framing, such as chunk sizes and trailers, for each byte of a body; a
@@ -175,6 +178,7 @@
         "_n_body_bytes",
         "_n_head_bytes",
         "_n_bytes_read",
+        "_opened_at",
         "_parser",
         "_queue",
         "_target",
@@ -195,6 +199,7 @@
         self._error_status = 0
         self._is_closing = False
         self._timer = None
+        self._opened_at = loop.seconds()
         self._deadline = 0.0
         self._reset_message()
         super().__init__(loop, sock)
@@ -395,8 +400,12 @@
             self.resume_reading()
 
     def close_if_idle(self):
-        """Close the connection unless it has a request or part of one."""
-        if self.is_idle and not self.is_closed:
+        """Close the connection unless it is new or has a request or part of one."""
+        is_new = (
+            self.is_first_request
+            and self.loop.seconds() - self._opened_at < NEW_CONNECTION_S
+        )
+        if self.is_idle and not is_new and not self.is_closed:
             self._stop_timer()
             self.close()
             self.owner.handle_closed(self)
--- a/src/heatherpick/_net/gateway.py
+++ b/src/heatherpick/_net/gateway.py
@@ -177,7 +177,7 @@
             self._listener = None
 
     def close_idle_connections(self):
-        """Close the connections that have no request, not even part of one."""
+        """Close the connections that are not new and have no part of a request."""
         for connection in list(self._connections):
             connection.close_if_idle()
 
--- a/tests/direct/test_planned_stop.py
+++ b/tests/direct/test_planned_stop.py
@@ -2,7 +2,13 @@
 
 import pytest
 
-from heatherpick._net.node import ANSWER_DEADLINE_SHARE, EXIT_DEADLINE_SHARE
+from heatherpick._net.callers import NEW_CONNECTION_S
+from heatherpick._net.node import (
+    ACCEPT_AFTER_STOP_S,
+    ANSWER_DEADLINE_SHARE,
+    EXIT_DEADLINE_SHARE,
+    STOP_POLL_S,
+)
 from tests.direct.site import make_gather, make_order, make_site
 
 #: Grace period of the nodes, in seconds.
@@ -227,3 +233,22 @@
     assert statuses[0] == 200
     assert set(statuses[1:]) <= {200, 502, 503, 504}
     assert statuses[-1] == 503
+
+
+def test_new_connection_to_a_stopping_node_is_kept_until_its_request():
+    # Guards against connections that close while their first request is on the way.
+    site = make_stopping_site()
+    set_delay(site, 60.0)
+    lasting_caller = site.connect()
+    lasting_caller.send_request("/lookup/x", extra=["Deadline-Ms: 15000"])
+    site.run_for(0.1)
+    set_delay(site, 0.0)
+    site.nodes[0].begin_stop()
+    site.run_for(ACCEPT_AFTER_STOP_S + 0.2)
+    caller = site.connect()
+    site.run_for(2.5 * STOP_POLL_S)
+    caller.send_request("/order/x", "POST", b"b")
+    assert caller.read_response()[0] == 200
+    silent_caller = site.connect()
+    silent_caller.read(wait_s=NEW_CONNECTION_S + 3.0 * STOP_POLL_S)
+    assert silent_caller.is_closed
