Accept only entries of upstreams and nodes that can be used

An entry of another writer was taken for an upstream although its name cannot be sent in a header, its port is above 65535, or its slots are no number that an integer holds; int() of infinity raised in the consumer, after which the list was followed no more. An entry of a node without a usable address made the periodic check raise before it polled the other nodes, and a bandwidth of infinity made every other node count as narrow.

Entries are decoded by the same strict functions now: names that fit a header and a comma-separated list, addresses that can be connected to (parse_address), finite numbers within plausible bounds, no truth values. Anything else names no upstream, or a node by its address only. Seeds are checked in the same way.

The test of malformed node entries used addresses like "a:1", which name no node now; its cases are kept with valid addresses, and further ones added. The fleet model numbers its nodes by valid addresses, as octets above 255 are no address.

--- a/src/heatherpick/_fleet/nodes.py
+++ b/src/heatherpick/_fleet/nodes.py
@@ -2,8 +2,13 @@
 
 from dataclasses import dataclass
 
+from heatherpick._fleet.addresses import parse_address
+
 __all__ = ["NodeEntry"]
 
+#: Largest plausible bandwidth of a link, in Mbit/s.
+MAX_LINK_MBPS = 10_000_000
+
 
 @dataclass(frozen=True, slots=True)
 class NodeEntry:
@@ -38,14 +43,20 @@
             missing or invalid.
         """
         address = value.get("address") if isinstance(value, dict) else None
-        if not isinstance(address, str) or not address:
+        if parse_address(address) is None:
             return None
-        texts = [value.get(name) for name in ("search_address", "data_centre")]
+        search_address = value.get("search_address")
+        data_centre = value.get("data_centre")
         link_mbps = value.get("link_mbps")
-        is_complete = all(isinstance(text, str) for text in texts)
-        if not is_complete or not isinstance(link_mbps, (int, float)):
+        is_complete = (
+            (search_address == "" or parse_address(search_address) is not None)
+            and isinstance(data_centre, str)
+            and isinstance(link_mbps, (int, float))
+            and 0 <= link_mbps <= MAX_LINK_MBPS
+        )
+        if not is_complete:
             return cls(address)
-        return cls(address, *texts, float(link_mbps))
+        return cls(address, search_address, data_centre, float(link_mbps))
 
     def to_value(self):
         """Encode the entry as an object of the store."""
--- a/src/heatherpick/platform/settings.py
+++ b/src/heatherpick/platform/settings.py
@@ -4,6 +4,7 @@
 import tomllib
 from dataclasses import dataclass
 
+from heatherpick._fleet.addresses import parse_address
 from heatherpick.errors import Finding, SettingsError
 
 __all__ = ["PlatformSettings"]
@@ -108,7 +109,11 @@
             peers_address=reader.read_address("listen.control"),
             search_address=reader.read_first_port("internal-ports"),
             link_mbps=float(reader.read_field("limits.link-mbps", (int, float))),
-            seeds=tuple(seed for seed in fields.get("seeds", ()) if ":" in str(seed)),
+            seeds=tuple(
+                seed
+                for seed in reader.read_field("seeds", list) or ()
+                if parse_address(seed) is not None
+            ),
             extra_share=float(
                 reader.read_field("bounds.retry-budget-ratio", (int, float))
             ),
--- a/src/heatherpick/platform/wire.py
+++ b/src/heatherpick/platform/wire.py
@@ -1,5 +1,8 @@
 """Decoding of the platform's documents, and the names of its headers and objects."""
 
+import re
+
+from heatherpick._fleet.addresses import parse_address
 from heatherpick._net.header_names import HeaderNames
 from heatherpick._net.node import DocumentKinds
 from heatherpick._serving.model import (
@@ -35,6 +38,13 @@
 )
 
 _IS_DRAINING_BY_STATE = {"ready": False, "draining": True}
+# The name of an upstream is sent in headers, in one of them in a list with commas.
+_UPSTREAM_NAME = re.compile(r"[!-+\--~]{1,200}")
+#: Largest plausible values of an entry's numbers: slots, remaining time in
+#: milliseconds (a day), and Unix milliseconds.
+MAX_SLOTS = 100_000
+MAX_COLD_MS = 86_400_000
+MAX_BORN_MS = 2**53
 
 
 def decode_snapshot(document):
@@ -42,7 +52,7 @@
 
     Raises
     ------
-    KeyError, TypeError, ValueError
+    AttributeError, KeyError, OverflowError, TypeError, ValueError
         A field is missing or has the wrong type. The platform accepts only valid
         documents, so this happens only where bytes were corrupted.
     """
@@ -108,27 +118,33 @@
     fields : object
         The entry's value. Other writers may have written a value of any type.
     """
-    if not isinstance(fields, dict):
+    if not isinstance(fields, dict) or not _UPSTREAM_NAME.fullmatch(name):
         return None
-    service, zone = fields.get("service"), fields.get("zone")
-    address, state = fields.get("address"), fields.get("state")
-    texts = (name, service, zone, address, state)
-    if not all(isinstance(text, str) and text for text in texts):
+    service, zone, state = (
+        fields.get("service"),
+        fields.get("zone"),
+        fields.get("state"),
+    )
+    if not all(isinstance(text, str) and text for text in (service, zone, state)):
         return None
-    host, _, port = address.rpartition(":")
-    slots, cold_ms = fields.get("slots"), fields.get("cold-remaining-ms", 0)
-    born = fields.get("born", 0)
-    numbers = (slots, cold_ms, born)
-    if not all(isinstance(n, (int, float)) and n >= 0 for n in numbers):
+    address = parse_address(fields.get("address"))
+    numbers = (
+        (fields.get("slots"), MAX_SLOTS),
+        (fields.get("cold-remaining-ms", 0), MAX_COLD_MS),
+        (fields.get("born", 0), MAX_BORN_MS),
+    )
+    if not all(_is_number(value, maximum) for value, maximum in numbers):
         return None
-    if state not in _IS_DRAINING_BY_STATE or not _is_ip(host) or not port.isdigit():
+    if state not in _IS_DRAINING_BY_STATE or address is None:
         return None
+    (slots, _), (cold_ms, _), (born, _) = numbers
+    host, port = address
     return UpstreamEntry(
         id=name,
         service=service,
         data_centre=zone,
         host=host,
-        port=int(port),
+        port=port,
         n_slots=max(1, int(slots)),
         is_draining=_IS_DRAINING_BY_STATE[state],
         cold_ms=float(cold_ms),
@@ -136,9 +152,9 @@
     )
 
 
-def _is_ip(host):
-    parts = host.split(".")
-    return len(parts) == 4 and all(part.isdigit() and int(part) < 256 for part in parts)
+def _is_number(value, maximum):
+    is_number = isinstance(value, (int, float)) and not isinstance(value, bool)
+    return is_number and 0 <= value <= maximum
 
 
 PLATFORM_KINDS = DocumentKinds(
--- a/tests/direct/fleet_model.py
+++ b/tests/direct/fleet_model.py
@@ -316,7 +316,9 @@
         self.is_blocked = lambda one, other: False
         self.entries = [
             NodeEntry(
-                f"10.{n % n_data_centres}.0.{n}:7", "", f"dc-{n % n_data_centres}"
+                f"10.{n % n_data_centres}.{n // 250}.{n % 250}:7",
+                "",
+                f"dc-{n % n_data_centres}",
             )
             for n in range(n_nodes)
         ]
--- a/tests/direct/test_aggregators.py
+++ b/tests/direct/test_aggregators.py
@@ -333,15 +333,37 @@
     assert not (aggregators.is_aggregator and address)
 
 
-def test_malformed_node_entry_names_no_node_or_one_without_a_search_address():
-    assert NodeEntry.from_value("text") is None
-    assert NodeEntry.from_value({"address": 5}) is None
-    assert NodeEntry.from_value({"address": "a:1"}) == NodeEntry("a:1")
-    assert NodeEntry.from_value({"address": "a:1", "search_address": "b:2"}) == (
-        NodeEntry("a:1")
-    )
-    entry = make_node("n0", 10.0)
-    assert NodeEntry.from_value(entry.to_value()) == entry
+@pytest.mark.parametrize(
+    "value", ["text", {"address": 5}, {"address": "a:1"}, {"address": "10.0.0.1:70000"}]
+)
+def test_node_entry_without_a_valid_address_names_no_node(value):
+    assert NodeEntry.from_value(value) is None
+
+
+@pytest.mark.parametrize(
+    ("field", "value"),
+    [
+        ("search_address", "b:2"),
+        ("search_address", None),
+        ("search_address", "10.0.0.1:99999"),
+        ("data_centre", 5),
+        ("link_mbps", "fast"),
+        ("link_mbps", -1.0),
+        ("link_mbps", float("inf")),
+        ("link_mbps", float("nan")),
+        ("link_mbps", 10**400),
+    ],
+)
+def test_node_entry_with_an_invalid_field_has_its_address_only(field, value):
+    # Guards against one entry that makes every node an aggregator, or none.
+    fields = NodeEntry("10.0.0.1:1", "10.0.0.1:2", "north", 10.0).to_value()
+    assert NodeEntry.from_value({**fields, field: value}) == NodeEntry("10.0.0.1:1")
+
+
+def test_node_entry_is_the_same_after_encoding_and_decoding():
+    for search_address in ("", "10.0.0.1:2"):
+        entry = NodeEntry("10.0.0.1:1", search_address, "north", 10.0)
+        assert NodeEntry.from_value(entry.to_value()) == entry
 
 
 # Over loopback
--- a/tests/direct/test_wire.py
+++ b/tests/direct/test_wire.py
@@ -1,9 +1,13 @@
 """Tests of the decoding of the platform's documents and settings file."""
 
 import copy
+import math
+import socket
 from types import SimpleNamespace
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
 from heatherpick._net.http_client import Exchange
 from heatherpick._net.telemetry import Counters
@@ -123,20 +127,72 @@
         ("address", "10.128.0.900:80"),
         ("address", "10.128.0.9:x"),
         ("address", None),
+        ("address", "10.128.0.9:0"),
+        ("address", "10.128.0.9:65536"),
+        ("address", "10.128.0.9:70000"),
+        ("address", "10.128.0.9:" + 400 * "9"),
+        ("address", "10.128.0.9:\u00b2"),
+        ("address", "10.128.0.9:\u0663"),
+        ("address", "010.128.0.9:80"),
+        ("address", "10.128.0.9:80 "),
+        ("address", "10.128.0.9:80\r\nX: y"),
         ("zone", ["a"]),
         ("slots", "3"),
         ("slots", None),
         ("slots", -1),
+        ("slots", True),
+        ("slots", 10**400),
+        ("slots", float("inf")),
+        ("slots", float("nan")),
         ("state", "resting"),
         ("state", 1),
         ("cold-remaining-ms", "soon"),
+        ("cold-remaining-ms", 1e300),
+        ("cold-remaining-ms", False),
         ("born", "yesterday"),
+        ("born", float("inf")),
     ],
 )
 def test_entry_with_an_invalid_field_is_ignored(field, value):
     assert decode_upstream("i-1", {**ENTRY, field: value}) is None
 
 
+@pytest.mark.parametrize(
+    "name",
+    [
+        "",
+        "i k",
+        "i,k",
+        "i\r\nX: y",
+        "i-k\ufffdping",
+        "i-k\u00f6ping",
+        "\ud800",
+        201 * "i",
+    ],
+)
+def test_entry_whose_name_cannot_be_sent_in_a_header_is_ignored(name):
+    # Guards against names that end a group of legs, or add headers to a request.
+    assert decode_upstream(name, ENTRY) is None
+
+
+json_values = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(),
+    lambda values: st.lists(values) | st.dictionaries(st.text(), values),
+    max_leaves=5,
+)
+
+
+@given(st.text(), st.dictionaries(st.sampled_from([*ENTRY, "x"]), json_values))
+def test_entry_of_any_shape_is_usable_or_ignored(name, fields):
+    entry = decode_upstream(name, {**ENTRY, **fields})
+    if entry is not None:
+        assert f"{entry.id}".encode("latin-1").isalnum() or entry.id.isprintable()
+        assert socket.inet_aton(entry.host)
+        assert 0 < entry.port < 65536
+        assert 0 < entry.n_slots < 10**6
+        assert math.isfinite(entry.cold_ms)
+
+
 @pytest.mark.parametrize("value", [None, [], "text", 5, {}])
 def test_entry_of_another_type_is_ignored(value):
     assert decode_upstream("i-1", value) is None
