Let one odd object in the store hide no other

Cause: the store returns objects of all writers in one document, and the decoder rejects the whole of it. A consumer that raised left its follower without a next call.

A follower goes on whatever a consumer raises.

--- a/src/heatherpick/_net/documents.py
+++ b/src/heatherpick/_net/documents.py
@@ -8,6 +8,7 @@
 
 import orjson
 
+from heatherpick._fleet.addresses import parse_address
 from heatherpick._fleet.copies import (
     Change,
     HistoryGone,
@@ -181,16 +182,25 @@
                 self._copy.kind, self._handle_result
             )
             return
-        delay_s = 0.0
+        delay_s = BATCH_DELAY_S
+        try:
+            delay_s = self._apply(result)
+            self._synchroniser.respond_with_updates()
+        finally:
+            # A consumer that fails must not end the following.
+            if self.is_active and self._timer is None:
+                self._timer = self._synchroniser.loop.call_later(
+                    delay_s, self.call_store
+                )
+
+    def _apply(self, result):
+        """Apply a result of the store; return the delay of the next call in seconds."""
         if type(result) is Listing:
             self._copy.apply_listing(result)
-        else:
-            changes = [Change(result.revision, each) for each in result.objects]
-            self._copy.apply_changes(changes, result.revision)
-            delay_s = BATCH_DELAY_S if changes else 0.0
-        self._synchroniser.respond_with_updates()
-        if self.is_active and self._timer is None:
-            self._timer = self._synchroniser.loop.call_later(delay_s, self.call_store)
+            return 0.0
+        changes = [Change(result.revision, each) for each in result.objects]
+        self._copy.apply_changes(changes, result.revision)
+        return BATCH_DELAY_S if changes else 0.0
 
     def _report(self, message, **fields):
         self._synchroniser.report(
@@ -610,7 +620,7 @@
     sources = {}
     for entry in by_name.get(SOURCES_HEADER, b"").decode("latin-1").split(","):
         address, _, age_s = entry.partition("=")
-        if address:
+        if parse_address(address) is not None:
             # The poll arrived after ``polled_at``: the contact is no older than this.
             sources[address] = polled_at - float(age_s)
     return sources
@@ -622,7 +632,8 @@
     for pair in target.decode("latin-1").partition("?")[2].split("&"):
         name, _, value = pair.partition("=")
         if name == REQUESTER_FIELD:
-            parameters[name] = value
+            # It may be polled in turn, so it must be an address.
+            parameters[name] = value if parse_address(value) is not None else ""
         elif value.isdigit():
             parameters[name] = int(value)
     return parameters
--- a/src/heatherpick/_net/node.py
+++ b/src/heatherpick/_net/node.py
@@ -35,6 +35,8 @@
 #: Interval between two reads of the settings, in seconds; they may change without a
 #: signal.
 SETTINGS_POLL_S = 5.0
+#: What decoding a value raises that does not have the expected shape.
+DECODE_ERRORS = (AttributeError, KeyError, OverflowError, TypeError, ValueError)
 #: Interval at which a stopping node checks whether connections are open, in seconds.
 STOP_POLL_S = 0.1
 
@@ -50,7 +52,7 @@
     routes_name : str
         Name of the one object that holds the routes.
     decode_snapshot : callable
-        Decodes its value to a `Snapshot`; raises KeyError, TypeError or ValueError.
+        Decodes its value to a `Snapshot`; raises one of ``DECODE_ERRORS``.
     decode_upstream : callable
         Decodes the name and value of an entry to an `UpstreamEntry`, or to None if the
         entry is invalid.
@@ -84,7 +86,7 @@
     def _adopt(self, value):
         try:
             snapshot = self._kinds.decode_snapshot(value)
-        except (KeyError, TypeError, ValueError) as error:
+        except DECODE_ERRORS as error:
             self._report(
                 "cannot decode the routes; keeping the current ones", error=error
             )
@@ -121,6 +123,8 @@
         )
         for stored in objects:
             entry = None if stored.is_deleted else self._decode(stored)
+            if stored.is_deleted:
+                self._invalid_names.discard(stored.name)
             if entry is None:
                 self._directory.remove(stored.name, now, may_have_lapsed)
                 state = "gone"
@@ -131,7 +135,9 @@
 
     def _decode(self, stored):
         entry = self._kinds.decode_upstream(stored.name, stored.value)
-        if entry is None and stored.name not in self._invalid_names:
+        if entry is not None:
+            self._invalid_names.discard(stored.name)
+        elif stored.name not in self._invalid_names:
             self._invalid_names.add(stored.name)
             self._report("upstream entry not understood", upstream=stored.name)
         return entry
--- a/tests/direct/site.py
+++ b/tests/direct/site.py
@@ -89,9 +89,10 @@
                 self.open_watches.remove(watch)
                 watch[0].respond(503, (), b"")
 
-    def put(self, kind, name, spec):
+    def put(self, kind, name, spec, name_text=None):
+        """Create or replace an object; ``name_text`` is its name as it is sent."""
         self.revision += 1
-        meta = {"name": name, "revision": self.revision}
+        meta = {"name": name_text or name, "revision": self.revision}
         fields = {"meta": meta, "spec": spec, "status": None}
         self.objects.setdefault(kind, {})[name] = fields
         self._record_change(kind, fields, False)
