Read numbers in headers only up to 15 digits

Server-Load or Keep-Alive with 400 digits raised in the handling of the response: a quotient that no float holds, or more digits than int() takes. The outcome of the leg was lost, and its request waited for its deadline. Found by looking for other numbers of other writers.

All whole numbers of peers are read by parse_digits, which takes at most 15 digits; anything else counts as a missing header, and a longer Content-Length of a caller as too long. Four of the new cases failed before.

--- a/src/heatherpick/_net/callers.py
+++ b/src/heatherpick/_net/callers.py
@@ -4,6 +4,7 @@
 
 import httptools
 
+from heatherpick._net.header_numbers import parse_digits
 from heatherpick._net.sockets import Stream, read_round_trip_ms
 
 __all__ = ["CallerConnection", "CallerRequest", "build_response"]
@@ -302,7 +303,9 @@
         if b"100-continue" in self._by_name.get(b"expect", b"").lower():
             self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
         length = self._by_name.get(b"content-length", b"")
-        if length.isdigit() and int(length) > self.owner.limits.max_body_bytes:
+        n_bytes = parse_digits(length)
+        is_too_long = length.isdigit() and n_bytes is None
+        if is_too_long or (n_bytes or 0) > self.owner.limits.max_body_bytes:
             self._error_status = 413
 
     def on_body(self, body):
--- a/src/heatherpick/_net/gateway.py
+++ b/src/heatherpick/_net/gateway.py
@@ -8,6 +8,7 @@
     encode_answer,
     encode_group_headers,
 )
+from heatherpick._net.header_numbers import parse_digits
 from heatherpick._net.http_client import (
     MAX_RESPONSE_BODY_BYTES,
     ConnectionPool,
@@ -256,7 +257,7 @@
         event = ev.RequestArrived(
             request,
             *self._read_names(request),
-            _parse_number(by_name.get(self._header_names.timeout)),
+            parse_digits(by_name.get(self._header_names.timeout)),
             request.connection.estimate_network_ms()
             if peer_routes_version is None
             else 0.0,
@@ -267,7 +268,7 @@
 
     def handle_group(self, request, upstream_ids, n_records, is_rest, wait_ms):
         """Send the legs of a group of another node; see `GroupArrived`."""
-        timeout_ms = _parse_number(request.by_name.get(self._header_names.timeout))
+        timeout_ms = parse_digits(request.by_name.get(self._header_names.timeout))
         event = ev.GroupArrived(
             request,
             *self._read_names(request),
@@ -275,7 +276,7 @@
             n_records,
             is_rest,
             wait_ms,
-            wait_ms if timeout_ms is None else int(timeout_ms),
+            wait_ms if timeout_ms is None else timeout_ms,
         )
         self.handle_event(event)
 
@@ -540,19 +541,9 @@
                 pool.close_stale()
 
 
-def _parse_number(text):
-    """Return a header's value as a float; None if it is missing or not digits."""
-    if text is None:
-        return None
-    text = text.strip()
-    return float(text) if text.isdigit() else None
-
-
 def _parse_load(text):
     """Return running, waiting and slots; None if the header is missing or invalid."""
     if text is None:
         return None
-    parts = text.split(b",")
-    if len(parts) != 3 or not all(part.strip().isdigit() for part in parts):
-        return None
-    return tuple(int(part) for part in parts)
+    numbers = tuple(parse_digits(part) for part in text.split(b","))
+    return numbers if len(numbers) == 3 and None not in numbers else None
--- a/src/heatherpick/_net/groups.py
+++ b/src/heatherpick/_net/groups.py
@@ -8,6 +8,7 @@
 
 import orjson
 
+from heatherpick._net.header_numbers import parse_digits
 from heatherpick._net.http_client import Exchange, PeerPools
 from heatherpick._serving import events as ev
 from heatherpick._serving.groups import (
@@ -90,10 +91,10 @@
     """
     ids = by_name.get(LEGS_HEADER, b"").decode("latin-1").split(",")
     names = (RECORDS_HEADER, REST_HEADER, WAIT_HEADER)
-    numbers = [by_name.get(name, b"") for name in names]
-    if not all(ids) or not all(number.isdigit() for number in numbers):
+    numbers = [parse_digits(by_name.get(name)) for name in names]
+    if not all(ids) or None in numbers:
         return None
-    n_records, is_rest, wait_ms = map(int, numbers)
+    n_records, is_rest, wait_ms = numbers
     return tuple(ids), n_records, bool(is_rest), wait_ms
 
 
--- a/src/heatherpick/_net/http_client.py
+++ b/src/heatherpick/_net/http_client.py
@@ -9,6 +9,7 @@
 
 from heatherpick._net.budgets import ReadBudget
 from heatherpick._net.callers import HOP_BY_HOP_HEADERS, MAX_FRAMING_RATIO
+from heatherpick._net.header_numbers import parse_digits
 from heatherpick._net.sockets import Stream, open_stream_socket
 
 __all__ = [
@@ -440,8 +441,9 @@
     def _parse_idle_limit_s(self):
         for part in self._by_name.get(b"keep-alive", b"").split(b","):
             name, _, value = part.partition(b"=")
-            if name.strip().lower() == b"timeout" and value.strip().isdigit():
-                return IDLE_LIMIT_SHARE * int(value)
+            timeout_s = parse_digits(value)
+            if name.strip().lower() == b"timeout" and timeout_s is not None:
+                return IDLE_LIMIT_SHARE * timeout_s
         return DEFAULT_IDLE_LIMIT_S
 
     def _return_to_pool(self):
--- a/src/heatherpick/_net/searches.py
+++ b/src/heatherpick/_net/searches.py
@@ -8,6 +8,7 @@
 
 from heatherpick._net.callers import CallerConnection
 from heatherpick._net.groups import LEGS_HEADER, read_group
+from heatherpick._net.header_numbers import parse_digits
 from heatherpick._net.http_client import Exchange, PeerPools
 from heatherpick._net.sockets import Listener
 from heatherpick._serving import events as ev
@@ -100,12 +101,12 @@
             else:
                 self._gateway.handle_group(request, *group)
             return
-        version = request.by_name.get(ROUTES_VERSION_HEADER, b"")
-        age_us = request.by_name.get(AGE_HEADER, b"")
-        if self.is_stopping or not version.isdigit() or not age_us.isdigit():
+        version = parse_digits(request.by_name.get(ROUTES_VERSION_HEADER))
+        age_us = parse_digits(request.by_name.get(AGE_HEADER))
+        if self.is_stopping or version is None or age_us is None:
             request.respond(DECLINED_STATUS, (), b"")
             return
-        self._gateway.handle_request(request, int(version), int(age_us) / 1000.0)
+        self._gateway.handle_request(request, version, age_us / 1000.0)
 
 
 class SearchClient:
--- a/tests/direct/test_failures.py
+++ b/tests/direct/test_failures.py
@@ -194,3 +194,54 @@
         assert accepted
     accepted[0].close()
     listener.close()
+
+
+# Numbers in headers
+
+
+@pytest.mark.parametrize("n_digits", [16, 400, 5000])
+@pytest.mark.parametrize(
+    "make_header",
+    [
+        lambda digits: (b"Server-Load", digits + b",0,4"),
+        lambda digits: (b"Keep-Alive", b"timeout=" + digits),
+    ],
+    ids=["Server-Load", "Keep-Alive"],
+)
+def test_response_with_a_huge_number_in_a_header_is_forwarded(
+    site, make_header, n_digits
+):
+    # Guards against an outcome that is lost with the header that cannot be read.
+    site.publish([make_order()])
+
+    def serve(request):
+        headers = [
+            (b"Request-Id", request.by_name[b"request-id"]),
+            (b"Response-Seal", b"seal"),
+            make_header(b"9" * n_digits),
+        ]
+        request.respond(200, headers, b"done")
+
+    for name in ("da", "db"):
+        site.upstreams[name].handler = serve
+    caller = site.connect()
+    caller.send_request("/order/x", "POST", b"b")
+    status, _, body = caller.read_response()
+    assert (status, body) == (200, b"done")
+    assert not site.loop_errors.find("handler failed")
+
+
+@pytest.mark.parametrize("digits", ["9" * 16, "9" * 400, "-5", "1e999"])
+def test_request_with_an_odd_timeout_has_that_of_its_route(site, digits):
+    caller = site.connect()
+    caller.send_request("/order/x", extra=[f"Deadline-Ms: {digits}"])
+    assert caller.read_response()[0] == 200
+    (request,) = [r for u in site.upstreams.values() for r in u.requests]
+    assert 1000 < int(request.by_name[b"deadline-ms"]) <= 1500
+
+
+@pytest.mark.parametrize("n_digits", [6, 16, 18])
+def test_request_with_a_huge_length_is_rejected_at_once(site, n_digits):
+    caller = site.connect()
+    caller.send_request("/order/x", "POST", extra=["Content-Length: " + "9" * n_digits])
+    assert caller.read_response()[0] == 413
