Serve a request that offers an upgrade like any other, with its body

Cause: the parser stops behind the head of such a request, reports it as complete and leaves the bytes behind it to the other protocol; the connection took the stop for an invalid request.

Another parser takes over where the first one stops. It is given the framing of the request and reads its body, or begins with the next request. A request for a tunnel gets 404 and the connection goes on.

--- a/src/heatherpick/_net/callers.py
+++ b/src/heatherpick/_net/callers.py
@@ -33,6 +33,8 @@
         b"expect",
     }
 )
+#: Headers that say where a body ends.
+FRAMING_HEADERS = (b"content-length", b"transfer-encoding")
 REASON_PHRASES = {
     200: b"OK",
     400: b"Bad Request",
@@ -176,6 +178,7 @@
         "_error_status",
         "_has_head",
         "_headers",
+        "_is_body_ahead",
         "_n_body_bytes",
         "_n_head_bytes",
         "_n_bytes_read",
@@ -234,6 +237,8 @@
         self._by_name = {}
         self._body = bytearray()
         self._has_head = False
+        # Whether the parser has stopped behind the head of a request with a body.
+        self._is_body_ahead = False
         self._n_head_bytes = 0
         self._n_body_bytes = 0
         self._n_bytes_read = 0
@@ -259,9 +264,8 @@
         self._n_head_bytes = max(self._n_head_bytes, 1)
         self._n_bytes_read += len(data)
         try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            self._reject_request(400)
+            while data:
+                data = self._parse(data)
         except httptools.HttpParserError:
             self._reject_request(self._error_status or 400)
         self._check_framing()
@@ -270,6 +274,39 @@
         if len(self._queue) > MAX_PIPELINED:
             self.pause_reading()
 
+    def _parse(self, data):
+        """Parse bytes, and return those that are left for another call.
+
+        The parser stops behind the head of a request that offers another protocol or
+        asks for a tunnel, and takes what follows for the other protocol. Neither is
+        accepted, so another parser reads the body, or the next request.
+        """
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade as upgrade:
+            if self.is_closed:
+                return b""
+            stopped_parser = self._parser
+            self._parser = httptools.HttpRequestParser(self)
+            if self._is_body_ahead:
+                self._parser.feed_data(self._build_framing_head(stopped_parser))
+                self._is_body_ahead = False
+            (n_parsed_bytes,) = upgrade.args
+            return data[n_parsed_bytes:]
+        return b""
+
+    def _build_framing_head(self, parser):
+        """Return a head with the method and the framing of the request in progress."""
+        lines = [b"%s / HTTP/1.1" % parser.get_method()]
+        lines += [
+            b"%s: %s" % (name, self._by_name[name])
+            for name in FRAMING_HEADERS
+            if name in self._by_name
+        ]
+        if not parser.should_keep_alive():
+            lines.append(b"Connection: close")
+        return b"\r\n".join([*lines, b"", b""])
+
     def connection_lost(self, reason, was_clean):
         """Drop the requests of the connection."""
         self._stop_timer()
@@ -297,11 +334,15 @@
 
     def on_url(self, url):
         """Append a piece of the request target."""
+        if self._is_body_ahead:
+            return
         self._target += url
         self._count_head_bytes(len(url))
 
     def on_header(self, name, value):
         """Add a header."""
+        if self._is_body_ahead:
+            return
         self._count_head_bytes(len(name) + len(value) + 4)
         lower = name.lower()
         self._by_name[lower] = value
@@ -309,6 +350,8 @@
 
     def on_headers_complete(self):
         """Check the complete head."""
+        if self._is_body_ahead:
+            return
         self._has_head = True
         if b"100-continue" in self._by_name.get(b"expect", b"").lower():
             self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
@@ -331,6 +374,9 @@
         """Build the request and handle it."""
         if self._error_status or self.is_closed:
             return
+        if self._parser.should_upgrade() and self._has_framing_header():
+            self._is_body_ahead = True
+            return
         dropped_headers = HOP_BY_HOP_HEADERS
         tokens = self._by_name.get(b"connection")
         if tokens and tokens.lower() not in (b"keep-alive", b"close"):
@@ -353,6 +399,9 @@
         self._stop_timer()
         self.handle_request(request)
 
+    def _has_framing_header(self):
+        return any(name in self._by_name for name in FRAMING_HEADERS)
+
     def _count_head_bytes(self, n_bytes):
         self._n_head_bytes += n_bytes
         if (
--- a/tests/direct/test_site.py
+++ b/tests/direct/test_site.py
@@ -72,6 +72,89 @@
     assert seals == ["r0", "r1", "r2"]
 
 
+@pytest.mark.parametrize(
+    "offer",
+    [
+        ["Connection: Upgrade, HTTP2-Settings", "Upgrade: h2c", "HTTP2-Settings: AAM"],
+        ["Connection: Upgrade", "Upgrade: websocket"],
+    ],
+    ids=["h2c", "websocket"],
+)
+def test_offered_upgrade_is_declined_by_one_ordinary_answer(site, offer):
+    # Guards against a second answer on the connection, which the next order would get.
+    caller = site.connect()
+    for n in range(4):
+        caller.send_request(
+            "/order/x", "POST", b"body", request_id=f"r{n}", extra=offer
+        )
+        status, headers, _ = caller.read_response()
+        assert (status, headers["response-seal"][-2:]) == (200, f"r{n}")
+    for n in range(4, 7):
+        caller.send_request(
+            "/order/x", "POST", b"more", request_id=f"r{n}", extra=offer
+        )
+    for n in range(4, 7):
+        status, headers, _ = caller.read_response()
+        assert (status, headers["response-seal"][-2:]) == (200, f"r{n}")
+    site.run_for(0.05)
+    assert caller.data == b""
+    requests = [r for u in site.upstreams.values() for r in u.requests]
+    assert [r.body for r in requests].count(b"body") == 4
+    assert not any({b"upgrade", b"http2-settings"} & r.by_name.keys() for r in requests)
+
+
+@pytest.mark.parametrize("n_bytes_at_once", [1, 7, 1000])
+def test_body_behind_an_offered_upgrade_is_forwarded_whole(site, n_bytes_at_once):
+    # Guards against a body that is dropped, or read as a request of its own.
+    inner = b"POST /order/inner HTTP/1.1\r\nHost: search.example\r\n\r\n"
+    offer = (
+        b"POST /order/x HTTP/1.1\r\nHost: search.example\r\n"
+        b"Connection: Upgrade\r\nUpgrade: h2c\r\n"
+    )
+    chunk = b"%x\r\n%s\r\n0\r\n\r\n" % (len(inner), inner)
+    data = b"".join(
+        [
+            offer
+            + b"Request-Id: r1\r\nContent-Length: %d\r\n\r\n" % len(inner)
+            + inner,
+            offer + b"Request-Id: r2\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk,
+            offer + b"Request-Id: r3\r\nContent-Length: 0\r\n\r\n",
+            offer + b"Request-Id: r4\r\n\r\n",
+        ]
+    )
+    caller = site.connect()
+    for start in range(0, len(data), n_bytes_at_once):
+        caller.send(data[start : start + n_bytes_at_once])
+        site.loop.run_once(0.0)
+    seals = [caller.read_response()[1]["response-seal"][-2:] for _ in range(4)]
+    assert seals == ["r1", "r2", "r3", "r4"]
+    requests = {
+        request.by_name[b"request-id"]: request.body
+        for upstream in site.upstreams.values()
+        for request in upstream.requests
+    }
+    assert requests == {b"r1": inner, b"r2": inner, b"r3": b"", b"r4": b""}
+
+
+def test_offered_upgrade_with_close_ends_the_connection(site):
+    caller = site.connect()
+    offer = ["Connection: Upgrade, close", "Upgrade: h2c"]
+    caller.send_request("/order/x", "POST", b"body", extra=offer)
+    status, headers, _ = caller.read_response()
+    assert (status, headers["connection"]) == (200, "close")
+
+
+def test_request_to_open_a_tunnel_is_refused_and_the_connection_goes_on(site):
+    caller = site.connect()
+    caller.send(
+        b"CONNECT other.example:443 HTTP/1.1\r\nHost: other.example:443\r\n"
+        b"Request-Id: r0\r\n\r\n"
+    )
+    assert caller.read_response()[0] == 404
+    caller.send_request("/order/x", "POST", b"body")
+    assert caller.read_response()[0] == 200
+
+
 def test_target_header_from_a_caller_is_ignored(site):
     caller = site.connect()
     caller.send_request("/order/x", "POST", b"b", extra=["Target-Instance: zz"])
