Require the id only in responses of upstreams, not of nodes

The requirement is a property of the exchange now, set for legs only. The new test failed before: the aggregator was avoided for 2.0 s.

--- a/src/heatherpick/_net/gateway.py
+++ b/src/heatherpick/_net/gateway.py
@@ -390,10 +390,11 @@
             self._handle_leg_outcome,
             query.request_id.encode("latin-1"),
             self._header_names.request_id,
-            query.route.repeatable,
-            request.method != b"HEAD",
-            leg,
-            self._handle_leg_sent,
+            is_id_required=True,
+            is_repeatable=query.route.repeatable,
+            expects_body=request.method != b"HEAD",
+            context=leg,
+            on_sending=self._handle_leg_sent,
             max_body_bytes=MAX_PART_BYTES
             if query.route.is_gather
             else MAX_RESPONSE_BODY_BYTES,
--- a/src/heatherpick/_net/http_client.py
+++ b/src/heatherpick/_net/http_client.py
@@ -89,6 +89,9 @@
         Id that a response must repeat if it has the header ``id_header``.
     id_header : bytes, default=b""
         Lower-case name of the header with the id; if empty, ids are not compared.
+    is_id_required : bool, default=False
+        Whether a response without an id is dropped once the peer has repeated one on
+        the connection.
     is_repeatable : bool, default=True
         Whether the request may be sent twice. If not, it gets no connection that has
         been idle for long, as the peer may be about to close it.
@@ -116,6 +119,7 @@
         "excluded_connections",
         "expects_body",
         "id_header",
+        "is_id_required",
         "is_repeatable",
         "max_body_bytes",
         "on_accepted",
@@ -132,6 +136,7 @@
         on_done,
         request_id=b"",
         id_header=b"",
+        is_id_required=False,
         is_repeatable=True,
         expects_body=True,
         context=None,
@@ -144,6 +149,7 @@
         self.on_done = on_done
         self.request_id = request_id
         self.id_header = id_header
+        self.is_id_required = is_id_required
         self.is_repeatable = is_repeatable
         self.expects_body = expects_body
         self.context = context
@@ -415,14 +421,13 @@
     def _is_response_to(self, exchange):
         """Return whether the response belongs to an exchange, by the request's id.
 
-        A peer that repeats ids does so in every response, so one without an id is
-        garbled or belongs to no request.
+        Where the id is required, a response without one is garbled or a second copy.
         """
         if not exchange.id_header:
             return True
         repeated_id = self._by_name.get(exchange.id_header)
         if repeated_id is None:
-            return not self._repeats_ids
+            return not (exchange.is_id_required and self._repeats_ids)
         self._repeats_ids = True
         return repeated_id == exchange.request_id
 
--- a/tests/direct/test_aggregators.py
+++ b/tests/direct/test_aggregators.py
@@ -8,7 +8,11 @@
 from heatherpick._net.searches import SearchServer
 from heatherpick._serving import effects as fx
 from heatherpick._serving import events as ev
-from heatherpick._serving.aggregators import UNRESPONSIVE_PAUSE_S, Aggregators
+from heatherpick._serving.aggregators import (
+    DECLINED_PAUSE_S,
+    UNRESPONSIVE_PAUSE_S,
+    Aggregators,
+)
 from heatherpick._serving.handovers import MAX_ACCEPT_TIMEOUT_S
 from heatherpick._serving.requests import MAX_PEER_SEARCHES, SEND_RESERVE_MS
 from tests.direct.site import make_site
@@ -455,6 +459,18 @@
     assert list_reports(site, 1)[0]["outcome"] == "complete"
 
 
+def test_search_that_is_declined_on_a_used_connection_is_served_here_at_once(site):
+    # Guards against a decline, which repeats no id, that counts as no answer.
+    wait_for_node_lists(site)
+    assert send_search(site, "r1").read_response()[0] == 200
+    site.nodes[0]._gateway._is_stopping = True
+    assert send_search(site, "r2").read_response()[0] == 200
+    outcomes = {each["request"]: each["outcome"] for each in list_reports(site, 1)}
+    assert outcomes == {"r1": "handed over", "r2": "complete"}
+    paused_until = site.nodes[1]._reducer._aggregators._paused_until.values()
+    assert max(paused_until) - site.loop.seconds() <= DECLINED_PAUSE_S
+
+
 def test_stopping_aggregator_declines_and_finishes_what_it_accepted(site):
     wait_for_node_lists(site)
     for upstream in site.upstreams.values():
--- a/tests/direct/test_streams.py
+++ b/tests/direct/test_streams.py
@@ -51,9 +51,15 @@
         self.append((response, was_sent, reason))
 
 
-def send_request(loop, upstream, outcomes, pool=None):
+def send_request(loop, upstream, outcomes, pool=None, **fields):
     pool = pool or ConnectionPool(loop, "127.0.0.1", upstream.port, 4)
-    exchange = Exchange(b"GET / HTTP/1.1\r\n\r\n", outcomes.record, b"a", b"id")
+    exchange = Exchange(
+        b"GET / HTTP/1.1\r\n\r\n",
+        outcomes.record,
+        b"a",
+        b"id",
+        **{"is_id_required": True, **fields},
+    )
     pool.send(exchange)
     return pool
 
@@ -290,6 +296,19 @@
     assert [each[0].body for each in first + outcomes] == [b"body", b"next"]
 
 
+def test_response_without_the_id_counts_where_it_is_not_required(loop, upstream):
+    # Nodes repeat the id in their answers, but not where they decline a search.
+    pool = ConnectionPool(loop, "127.0.0.1", upstream.port, 1)
+    _, _, connection = run_exchange(loop, upstream, FRAMED_HEAD + b"body", None, pool)
+    outcomes = Outcomes()
+    send_request(loop, upstream, outcomes, pool, is_id_required=False)
+    run_loop(loop)
+    connection.recv(1000)
+    connection.sendall(HEAD_WITHOUT_ID + b"none")
+    run_loop(loop)
+    assert [each[0].body for each in outcomes] == [b"none"]
+
+
 def test_close_without_a_response_does_not_repeat_the_response_before(loop, upstream):
     # Guards against a 204, which has no length, that counts for the next request too.
     pool = ConnectionPool(loop, "127.0.0.1", upstream.port, 1)
