Compare the id of responses to HEAD requests as well

A response to HEAD counts at the end of its head. It was not compared with the request's id there, so a late response to another request answered it. Found by reading the change again.

The new test failed before: status 200 of the late response instead of 203.

--- a/src/heatherpick/_net/http_client.py
+++ b/src/heatherpick/_net/http_client.py
@@ -384,7 +384,9 @@
             return
         if self._status == PROCESSING_STATUS:
             exchange.report_acceptance()
-        elif not exchange.expects_body and self._status >= 200:
+        elif self._status < 200 or exchange.expects_body:
+            return
+        elif self._is_response_to(exchange):
             self._finish_exchange()
             self._discard()
 
--- a/tests/direct/test_streams.py
+++ b/tests/direct/test_streams.py
@@ -322,3 +322,20 @@
     connection.close()
     run_loop(loop)
     assert [(each[0], each[1]) for each in outcomes] == [(None, True)]
+
+
+def test_late_response_to_another_request_is_no_answer_to_a_head_request(
+    loop, upstream
+):
+    # Guards against HEAD requests that get the head of another request's response.
+    pool = ConnectionPool(loop, "127.0.0.1", upstream.port, 1)
+    _, _, connection = run_exchange(loop, upstream, FRAMED_HEAD + b"body", None, pool)
+    outcomes = Outcomes()
+    send_request(loop, upstream, outcomes, pool, expects_body=False)
+    run_loop(loop)
+    connection.recv(1000)
+    late = b"HTTP/1.1 200 OK\r\nid: z\r\nContent-Length: 4\r\n\r\nlate"
+    mine = b"HTTP/1.1 203 OK\r\nid: a\r\nContent-Length: 9\r\n\r\n"
+    connection.sendall(late + mine)
+    run_loop(loop)
+    assert [each[0].status for each in outcomes] == [203]
