Pass no event of a closed descriptor to the one that reuses its number

Events of one round of epoll are handled one after the other. A handler that closes a descriptor whose event is pending, after which the number is given to a new socket, let that socket's handler get the old event: a new caller's connection could be closed for the end of an earlier one.

An event is dropped if its descriptor has another handler than when the events were read. epoll reports by level, so nothing is lost.

--- a/src/heatherpick/_net/loop.py
+++ b/src/heatherpick/_net/loop.py
@@ -139,9 +139,13 @@
             wait_s = 0.0
         elif timers:
             wait_s = min(max(0.0, timers[0].due_s - self.seconds()), max_wait_s)
-        for fd, events in self._epoll.poll(wait_s, MAX_EVENTS_PER_ITERATION):
-            handler = self._handlers.get(fd)
-            if handler is not None:
+        ready = [
+            (fd, events, self._handlers.get(fd))
+            for fd, events in self._epoll.poll(wait_s, MAX_EVENTS_PER_ITERATION)
+        ]
+        for fd, events, handler in ready:
+            # A handler before may have closed the descriptor, and opened it again.
+            if handler is not None and self._handlers.get(fd) is handler:
                 self.call_guarded(handler, events)
         while self._pending_calls:
             calls, self._pending_calls = self._pending_calls, []
