Soak: rejections with late copies, odd objects, overlapping stops, callers that stay

Added: upstreams that reject as not run and send second copies of some responses late, odd objects of other writers in three kinds, several nodes that get SIGTERM and SIGHUP within a second, and callers of which half return to the node that closed their connection, also while it stops.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -13,6 +13,8 @@
 OVERDUE_SLACK_S = 1.0
 #: Pause between two requests of a caller, in seconds.
 PAUSE_S = 0.05
+#: Share of the callers that return to the same node when their connection has ended.
+STAY_SHARE = 0.5
 #: Statuses that guarantee that a request has not run.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
@@ -95,6 +97,8 @@
 class Caller:
     """Sends one request after another, reusing a connection until it closes.
 
+    Some return to the same node then, also while it stops.
+
     Parameters
     ----------
     fleet : Fleet
@@ -122,7 +126,8 @@
         if self.is_stopped:
             return
         if self._connection is None or self._connection.is_closed:
-            self._node = fleet.rng.choice(fleet.nodes)
+            if self._node is None or fleet.rng.random() >= STAY_SHARE:
+                self._node = fleet.rng.choice(fleet.nodes)
             self._incarnation = self._node.incarnation
             self._connection = Connection(fleet.loop, self._node.callers_address)
         self._n_sent += 1
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -3,6 +3,9 @@
 import signal
 from abc import ABC, abstractmethod
 
+import orjson
+
+from tests.direct.test_foreign_entries import ODD_NAMES, ODD_VALUES, put_raw
 from tests.soak.fleet import ENDLESS_RESPONSES
 
 __all__ = ["FAULTS", "Fault"]
@@ -128,6 +131,21 @@
         return node.name
 
 
+class RollingRestart(Fault):
+    """Several processes get SIGTERM within a second, and SIGHUP before or after it."""
+
+    max_duration_s = 0.0
+
+    def inject(self):
+        nodes = self.rng.sample(self.fleet.nodes, self.rng.randint(2, 4))
+        for node in nodes:
+            signals = [signal.SIGTERM, signal.SIGHUP, signal.SIGTERM]
+            for number in self.rng.sample(signals, 2):
+                delay_s = self.rng.uniform(0.0, 1.0)
+                self.fleet.loop.call_later(delay_s, node.send_signal, number)
+        return " ".join(node.name for node in nodes)
+
+
 class Reload(Fault):
     """All processes get SIGHUP, which makes them reload their settings."""
 
@@ -214,6 +232,44 @@
             upstream.delay_s = 0.0
 
 
+class UpstreamRejects(Fault):
+    """Upstreams reject requests, and send second copies of some responses late."""
+
+    def inject(self):
+        self.upstreams = self.rng.sample(self.fleet.upstreams, 4)
+        for upstream in self.upstreams:
+            upstream.reject_share = 0.6
+            upstream.copy_share = self.rng.choice((0.0, 0.3))
+        return " ".join(upstream.id for upstream in self.upstreams)
+
+    def clear(self):
+        for upstream in self.upstreams:
+            upstream.reject_share = upstream.copy_share = 0.0
+
+
+class ForeignObject(Fault):
+    """Another writer puts an odd object beside those that nodes read."""
+
+    def inject(self):
+        kinds = ("servers", "evacuations", "heatherpick-nodes")
+        self.kind = self.rng.choice(kinds)
+        self.name = self.rng.choice([b'"odd"', *ODD_NAMES])
+        value_name = self.rng.choice([*ODD_VALUES, None])
+        value = ODD_VALUES.get(value_name)
+        if value is None:
+            upstream = self.rng.choice(self.fleet.upstreams)
+            value = orjson.dumps(
+                self.fleet.store.objects["servers"][upstream.id]["spec"]
+            )
+        put_raw(self.fleet.store, self.kind, self.name, value)
+        return f"{self.kind} {self.name[:30]!r} {value_name}"
+
+    def clear(self):
+        # Two faults may have put an object of the same name.
+        if self.name in self.fleet.store.objects[self.kind]:
+            self.fleet.store.delete(self.kind, self.name)
+
+
 class Publish(Fault):
     """Operators publish one version, or several in quick succession."""
 
@@ -233,6 +289,7 @@
     Pause,
     Kill,
     Restart,
+    RollingRestart,
     Reload,
     StoreOutage,
     StoreRefusesNodes,
@@ -240,5 +297,7 @@
     UpstreamHangs,
     UpstreamEndlessResponse,
     UpstreamSlow,
+    UpstreamRejects,
+    ForeignObject,
     Publish,
 )
