Tests: both nodes of a hand-over stop at once

Searches and orders that two nodes have taken are answered, whether the nodes hand searches over or not.

--- a/tests/direct/test_planned_stop.py
+++ b/tests/direct/test_planned_stop.py
@@ -10,6 +10,7 @@
     STOP_POLL_S,
 )
 from tests.direct.site import make_gather, make_order, make_site
+from tests.direct.test_aggregators import wait_for_node_lists
 
 #: Grace period of the nodes, in seconds.
 GRACE_S = 4.0
@@ -252,3 +253,40 @@
     silent_caller = site.connect()
     silent_caller.read(wait_s=NEW_CONNECTION_S + 3.0 * STOP_POLL_S)
     assert silent_caller.is_closed
+
+
+@pytest.mark.parametrize("links_mbps", [[100.0, 10.0], [10.0, 10.0]])
+def test_stop_of_both_nodes_of_a_search_cuts_nothing(links_mbps):
+    # The first node runs the second one's searches, if its link is that much faster.
+    site = make_site(links_mbps=links_mbps)
+    wait_for_node_lists(site)
+    set_delay(site, 0.3)
+    callers = [site.connect(node) for node in site.nodes for _ in range(4)]
+    for number, caller in enumerate(callers):
+        path = ("/find/x", "/order/x")[number % 2]
+        caller.send_request(path, request_id=f"r{number}")
+    site.run_for(0.1)
+    for node in site.nodes:
+        node.begin_stop()
+    answers = [caller.read_response() for caller in callers]
+    assert [status for status, _, _ in answers] == 8 * [200]
+    searches = [headers for _, headers, _ in answers[::2]]
+    assert [headers["parts-missing"] for headers in searches] == 4 * ["0"]
+
+
+def test_search_that_an_aggregator_runs_when_both_exit_is_refused_not_cut():
+    site = make_site(links_mbps=[100.0, 10.0])
+    site.publish([make_gather(["p0", "p1"], **{"timeout-ms": 20_000})])
+    wait_for_node_lists(site)
+    site.run_for(0.5)
+    set_delay(site, 60.0)
+    caller = site.connect(site.nodes[1])
+    caller.send_request("/find/x", extra=["Deadline-Ms: 15000"])
+    site.run_for(0.1)
+    assert site.nodes[0]._gateway.n_active_connections == 1
+    for node in site.nodes:
+        node.begin_stop()
+    caller.read(wait_s=7.0)
+    status, headers, _ = caller.read_response()
+    assert status in (502, 504)
+    assert headers["connection"] == "close"
