Soak: callers that stay with the nodes that stop, and odd objects that stay

All callers now return to the nodes that stop, with upstreams that take 0.2 to 0.6 s, and half of the odd objects stay to the end.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -107,6 +107,15 @@
         Number of the caller, part of the ids of its requests.
     findings : list of str
         Receives a line for each incorrect response.
+
+    Attributes
+    ----------
+    attempts : list of Attempt
+        All requests so far.
+    is_stopped : bool
+        Whether the caller sends no further request.
+    only_node : Node or None
+        Node that gets all new connections; None to choose one each time.
     """
 
     def __init__(self, fleet, index, findings):
@@ -119,6 +128,7 @@
         self._n_sent = 0
         self.attempts = []
         self.is_stopped = False
+        self.only_node = None
 
     def send_next(self):
         """Send the next request, unless the caller is stopped."""
@@ -126,7 +136,9 @@
         if self.is_stopped:
             return
         if self._connection is None or self._connection.is_closed:
-            if self._node is None or fleet.rng.random() >= STAY_SHARE:
+            if self.only_node is not None:
+                self._node = self.only_node
+            elif self._node is None or fleet.rng.random() >= STAY_SHARE:
                 self._node = fleet.rng.choice(fleet.nodes)
             self._incarnation = self._node.incarnation
             self._connection = Connection(fleet.loop, self._node.callers_address)
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -248,9 +248,14 @@
 
 
 class ForeignObject(Fault):
-    """Another writer puts an odd object beside those that nodes read."""
+    """Another writer puts an odd object beside those that nodes read.
+
+    Half of them stay to the end of the run, so that nodes start and changes come beside
+    them.
+    """
 
     def inject(self):
+        self.stays = self.rng.random() < 0.5
         kinds = ("servers", "evacuations", "heatherpick-nodes")
         self.kind = self.rng.choice(kinds)
         self.name = self.rng.choice([b'"odd"', *ODD_NAMES])
@@ -266,7 +271,7 @@
 
     def clear(self):
         # Two faults may have put an object of the same name.
-        if self.name in self.fleet.store.objects[self.kind]:
+        if not self.stays and self.name in self.fleet.store.objects[self.kind]:
             self.fleet.store.delete(self.kind, self.name)
 
 
--- a/tests/soak/runner.py
+++ b/tests/soak/runner.py
@@ -130,20 +130,27 @@
 def _check_planned_stop(fleet, callers, findings):
     """Check that nodes stopped by SIGTERM, without other faults, cut no request.
 
-    Upstreams take a while, so that requests are open when the processes exit. A request
-    that crosses the exit of its process was not read, and is no cut one: it has not run
-    and its connection ends within `LOSS_SLACK_S`.
+    Upstreams take a while, and all callers return to the nodes that stop, so that
+    requests are open when the processes exit. A request that crosses the exit of its
+    process was not read, and is no cut one: it has not run and its connection ends
+    within `LOSS_SLACK_S`.
     """
     fleet.run_for(SETTLE_S)
     for upstream in fleet.upstreams:
-        upstream.delay_s = fleet.rng.uniform(0.05, 0.3)
-    stopped_at = fleet.loop.seconds()
+        upstream.delay_s = fleet.rng.uniform(0.2, 0.6)
     nodes = fleet.rng.sample(fleet.nodes, fleet.rng.choice((1, 1, 2)))
+    for caller in callers:
+        caller.only_node = fleet.rng.choice(nodes)
+        caller.disconnect()
+    fleet.run_for(1.0)
+    stopped_at = fleet.loop.seconds()
     for node in nodes:
         node.send_signal(signal.SIGTERM)
     fleet.run_for(SHUTDOWN_GRACE_S + 1.0)
     for upstream in fleet.upstreams:
         upstream.delay_s = 0.0
+    for caller in callers:
+        caller.only_node = None
     run_ids = {
         request_id for upstream in fleet.upstreams for _, request_id in upstream.runs
     }
